Platform and engine clients, stand-ins, settings and configuration logic

Cause: the repository was empty. Change: the outer clients, the stand-ins they speak to, settings with findings, and the configuration's decision logic.

--- /dev/null
+++ b/internal/config/state.go
@@ -0,0 +1,207 @@
+package config
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/hibiscuspulley/hibiscuspulley/pkg/operator"
+)
+
+// Default values of the fleet-wide defaults.
+const (
+	defaultWeight         = 10
+	defaultRetryPercent   = 10
+	defaultRequestTimeout = 2 * time.Minute
+)
+
+// ErrGap means that a change is not the next revision.
+var ErrGap = errors.New("the change is not the next revision")
+
+// entity names one thing that changes write.
+type entity struct {
+	kind operator.Kind
+	name string
+}
+
+// State is the configuration at one revision. A State never changes; Apply
+// returns a new one.
+type State struct {
+	revision      uint64
+	defaults      operator.Defaults
+	services      map[string]operator.Service
+	organisations map[string]operator.Organisation
+	zones         map[string]operator.Zone
+	instances     map[string]operator.Instance
+	exceptions    map[string]operator.Exception
+	// last holds the change that wrote each entity last.
+	last map[entity]operator.Change
+}
+
+// NewState returns the configuration before the first change.
+func NewState() *State {
+	return &State{
+		defaults: operator.Defaults{
+			Weight:         defaultWeight,
+			RetryPercent:   defaultRetryPercent,
+			RequestTimeout: defaultRequestTimeout,
+		},
+		services:      make(map[string]operator.Service),
+		organisations: make(map[string]operator.Organisation),
+		zones:         make(map[string]operator.Zone),
+		instances:     make(map[string]operator.Instance),
+		exceptions:    make(map[string]operator.Exception),
+		last:          make(map[entity]operator.Change),
+	}
+}
+
+// Apply returns the state after the change. The change must be the next
+// revision, else Apply fails with ErrGap.
+func (s *State) Apply(c operator.Change) (*State, error) {
+	if c.Revision != s.revision+1 {
+		return nil, errors.Wrapf(ErrGap, "revision %d after %d", c.Revision, s.revision)
+	}
+	return s.with(c), nil
+}
+
+// Restore returns the state that a snapshot describes: the changes that wrote
+// each entity last, and the snapshot's revision.
+func Restore(revision uint64, changes []operator.Change) *State {
+	s := NewState()
+	for _, c := range changes {
+		s = s.with(c)
+	}
+	s.revision = revision
+	return s
+}
+
+func (s *State) with(c operator.Change) *State {
+	next := *s
+	next.revision = c.Revision
+	next.last = maps.Clone(s.last)
+	next.last[entity{c.Kind, c.Name}] = c
+	switch c.Kind {
+	case operator.KindService:
+		next.services = put(s.services, c.Name, c.Service)
+	case operator.KindOrganisation:
+		next.organisations = put(s.organisations, c.Name, c.Organisation)
+	case operator.KindZone:
+		next.zones = put(s.zones, c.Name, c.Zone)
+	case operator.KindInstance:
+		next.instances = put(s.instances, c.Name, c.Instance)
+	case operator.KindException:
+		next.exceptions = put(s.exceptions, c.Name, c.Exception)
+	case operator.KindDefaults:
+		if c.Defaults != nil {
+			next.defaults = *c.Defaults
+		}
+	}
+	return &next
+}
+
+// put returns a copy of m with the value written, or removed if it is nil.
+func put[V any](m map[string]V, name string, value *V) map[string]V {
+	next := maps.Clone(m)
+	if value == nil {
+		delete(next, name)
+		return next
+	}
+	next[name] = *value
+	return next
+}
+
+// Revision returns the number of the last change applied.
+func (s *State) Revision() uint64 {
+	return s.revision
+}
+
+// Defaults returns the fleet-wide defaults.
+func (s *State) Defaults() operator.Defaults {
+	return s.defaults
+}
+
+// Service returns the service with the name.
+func (s *State) Service(name string) (operator.Service, bool) {
+	service, found := s.services[name]
+	return service, found
+}
+
+// Services returns all services by name.
+func (s *State) Services() []operator.Service {
+	return byName(s.services)
+}
+
+// Organisations returns all organisations by name.
+func (s *State) Organisations() []operator.Organisation {
+	return byName(s.organisations)
+}
+
+// Zones returns the zones that operators have spoken about, by name.
+func (s *State) Zones() []operator.Zone {
+	return byName(s.zones)
+}
+
+// Instances returns the instances that operators have spoken about, by name.
+func (s *State) Instances() []operator.Instance {
+	return byName(s.instances)
+}
+
+// Exceptions returns all exceptions by name.
+func (s *State) Exceptions() []operator.Exception {
+	return byName(s.exceptions)
+}
+
+// ZoneOut reports whether operators have taken the zone out.
+func (s *State) ZoneOut(zone string) bool {
+	return s.zones[zone].Out
+}
+
+// Instance returns the operators' word on an instance.
+func (s *State) Instance(name string) operator.Instance {
+	return s.instances[name]
+}
+
+// LastChange returns the change that wrote the entity last.
+func (s *State) LastChange(kind operator.Kind, name string) (operator.Change, bool) {
+	c, found := s.last[entity{kind, name}]
+	return c, found
+}
+
+// Snapshot returns the changes that describe the state, in order of revision.
+func (s *State) Snapshot() []operator.Change {
+	changes := slices.Collect(maps.Values(s.last))
+	slices.SortFunc(changes, func(a, b operator.Change) int {
+		return int(a.Revision) - int(b.Revision)
+	})
+	return changes
+}
+
+// Weight returns the organisation's weight, with its exception if it has one.
+func (s *State) Weight(organisation string) int {
+	return s.setting(organisation, operator.SettingWeight, s.defaults.Weight)
+}
+
+// MaxInFlight returns the organisation's bound on requests in progress, with
+// its exception if it has one; 0 means no bound.
+func (s *State) MaxInFlight(organisation string) int {
+	return s.setting(organisation, operator.SettingMaxInFlight, s.defaults.MaxInFlight)
+}
+
+func (s *State) setting(organisation string, setting operator.Setting, fallback int) int {
+	for _, exception := range s.exceptions {
+		if exception.Organisation == organisation && exception.Setting == setting {
+			return exception.Value
+		}
+	}
+	return fallback
+}
+
+func byName[V any](m map[string]V) []V {
+	values := make([]V, 0, len(m))
+	for _, name := range slices.Sorted(maps.Keys(m)) {
+		values = append(values, m[name])
+	}
+	return values
+}
--- /dev/null
+++ b/internal/settings/load.go
@@ -0,0 +1,167 @@
+package settings
+
+import (
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+)
+
+// Default limits.
+const (
+	defaultBodyBytes       = 4 << 20
+	defaultHeaderBytes     = 32 << 10
+	defaultHeaderTimeout   = 5 * time.Second
+	defaultBodyTimeout     = 30 * time.Second
+	defaultIdleTimeout     = 2 * time.Minute
+	defaultQueueLength     = 256
+	defaultQueueTimeout    = 10 * time.Second
+	defaultWriteTimeout    = 20 * time.Second
+	defaultShutdownTimeout = 5 * time.Minute
+	defaultPlatformTimeout = 2 * time.Second
+	defaultSpares          = 1
+)
+
+// Load reads and checks the settings file. It fails with a findings.List that
+// holds everything wrong with the file.
+func Load(file string) (Settings, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "read the settings file")
+	}
+	return Parse(file, text)
+}
+
+// Parse reads and checks the text of a settings file.
+func Parse(file string, text []byte) (Settings, error) {
+	r := &reader{file: file, text: text}
+	value, ok := r.parse()
+	if !ok {
+		return Settings{}, r.found.Err()
+	}
+	s := r.settings(newObject(r, value, ""))
+	return s, r.found.Err()
+}
+
+func (r *reader) settings(o *object) Settings {
+	s := Settings{
+		Name:     o.text("name", "", true),
+		Zone:     o.text("zone", "", true),
+		Caller:   r.listener(o.object("caller", true), false),
+		Operator: r.listener(o.object("operator", true), true),
+		Peer:     r.listener(o.object("peer", true), true),
+		Seeds:    o.texts("seeds"),
+		Platform: r.platform(o.object("platform", true)),
+		Limits:   r.limits(o.object("limits", false)),
+		Grouping: r.grouping(o.object("grouping", false)),
+		LogLevel: o.text("log-level", "info", false),
+	}
+	if _, err := logrus.ParseLevel(s.LogLevel); err != nil {
+		r.note(o.members["log-level"].StartOffset, "log-level is unknown", `write "info", "warning" or "debug"`)
+	}
+	for _, name := range []string{"name", "zone"} {
+		if strings.Contains(literal(o.members[name]).String(), "/") {
+			r.note(o.members[name].StartOffset, name+" holds a slash", "use letters, digits and hyphens")
+		}
+	}
+	o.finish()
+	return s
+}
+
+func (r *reader) listener(o *object, needsKey bool) Listener {
+	l := Listener{
+		Address:         r.address(o, "address", true),
+		Advertise:       r.address(o, "advertise", false),
+		CertificateFile: r.readable(o, "tls-certificate-file", false),
+		PrivateKeyFile:  r.readable(o, "tls-key-file", false),
+		KeyFile:         r.readable(o, "key-file", needsKey),
+	}
+	if o.present("tls-certificate-file") != o.present("tls-key-file") {
+		r.note(o.value.StartOffset, o.path+" has only one of the two TLS files",
+			"set both tls-certificate-file and tls-key-file, or neither")
+	}
+	o.finish()
+	return l
+}
+
+// address returns a host and port.
+func (r *reader) address(o *object, name string, required bool) string {
+	address := o.text(name, "", required)
+	if address == "" {
+		return ""
+	}
+	if _, _, err := net.SplitHostPort(address); err != nil {
+		r.note(o.members[name].StartOffset, o.full(name)+" is not an address", `write it as "HOST:PORT"`)
+	}
+	return address
+}
+
+// readable returns the name of a file, which must be readable.
+func (r *reader) readable(o *object, name string, required bool) string {
+	file := o.text(name, "", required)
+	if file == "" {
+		return ""
+	}
+	if _, err := os.Stat(file); err != nil {
+		r.note(o.members[name].StartOffset, o.full(name)+": the file "+file+" can't be read",
+			"create it, or correct its name")
+	}
+	return file
+}
+
+func (r *reader) platform(o *object) Platform {
+	p := Platform{
+		TableURL:     r.url(o, "table-url"),
+		ObjectsURL:   r.url(o, "objects-url"),
+		InstancesURL: r.url(o, "instances-url"),
+		Timeout:      o.duration("timeout", defaultPlatformTimeout),
+	}
+	o.finish()
+	return p
+}
+
+func (r *reader) url(o *object, name string) string {
+	url := o.text(name, "", true)
+	if url == "" {
+		return ""
+	}
+	if !strings.HasPrefix(url, "http://") && !strings.HasPrefix(url, "https://") {
+		r.note(o.members[name].StartOffset, o.full(name)+" is not a URL", `begin it with "http://" or "https://"`)
+	}
+	return strings.TrimSuffix(url, "/")
+}
+
+func (r *reader) limits(o *object) Limits {
+	l := Limits{
+		BodyBytes:       o.whole("body-bytes", defaultBodyBytes, 1),
+		HeaderBytes:     o.whole("header-bytes", defaultHeaderBytes, 1),
+		HeaderTimeout:   o.duration("header-timeout", defaultHeaderTimeout),
+		BodyTimeout:     o.duration("body-timeout", defaultBodyTimeout),
+		IdleTimeout:     o.duration("idle-timeout", defaultIdleTimeout),
+		QueueLength:     o.whole("queue-length", defaultQueueLength, 0),
+		QueueTimeout:    o.duration("queue-timeout", defaultQueueTimeout),
+		WriteTimeout:    o.duration("write-timeout", defaultWriteTimeout),
+		ShutdownTimeout: o.duration("shutdown-timeout", defaultShutdownTimeout),
+	}
+	o.finish()
+	return l
+}
+
+func (r *reader) grouping(o *object) Grouping {
+	g := Grouping{
+		DowntimeWeight:  o.number("downtime-weight", 1),
+		StrandedWeight:  o.number("stranded-weight", 1),
+		SparesPerDomain: o.whole("spares-per-domain", defaultSpares, 0),
+	}
+	o.finish()
+	return g
+}
+
+// DefaultLimits returns the limits of a settings file that sets none.
+func DefaultLimits() Limits {
+	r := &reader{}
+	return r.limits(&object{reader: r, used: make(map[string]bool)})
+}
--- /dev/null
+++ b/internal/sse/doc.go
@@ -0,0 +1,2 @@
+// Package sse reads server-sent events, the format of streamed answers.
+package sse
--- /dev/null
+++ b/internal/sse/reader.go
@@ -0,0 +1,105 @@
+package sse
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// maxLineBytes bounds one line of an event stream.
+const maxLineBytes = 1 << 20
+
+// Event is one server-sent event. Its slices are valid until the next Read.
+type Event struct {
+	// ID is the event's id field.
+	ID []byte
+	// Data is the event's data field.
+	Data []byte
+}
+
+// Reader reads events from a stream.
+type Reader struct {
+	buf  *bufio.Reader
+	id   []byte
+	data []byte
+}
+
+// NewReader returns a Reader of r.
+func NewReader(r io.Reader) *Reader {
+	return &Reader{buf: bufio.NewReaderSize(r, 16<<10)}
+}
+
+// Buffered returns how many bytes have arrived but are not read yet.
+func (r *Reader) Buffered() int {
+	return r.buf.Buffered()
+}
+
+// Read returns the next event that has data. Comments are passed over.
+func (r *Reader) Read() (Event, error) {
+	r.id, r.data = r.id[:0], r.data[:0]
+	hasData := false
+	for {
+		line, err := r.line()
+		if err != nil {
+			return Event{}, err
+		}
+		if len(line) == 0 {
+			if hasData {
+				return Event{ID: r.id, Data: r.data}, nil
+			}
+			continue
+		}
+		if value, ok := field(line, "id:"); ok {
+			r.id = append(r.id[:0], value...)
+		}
+		if value, ok := field(line, "data:"); ok {
+			r.appendData(value, hasData)
+			hasData = true
+		}
+	}
+}
+
+func (r *Reader) appendData(value []byte, again bool) {
+	if again {
+		r.data = append(r.data, '\n')
+	}
+	r.data = append(r.data, value...)
+}
+
+func (r *Reader) line() ([]byte, error) {
+	line, err := r.buf.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		return r.longLine(line)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return bytes.TrimRight(line, "\r\n"), nil
+}
+
+func (r *Reader) longLine(start []byte) ([]byte, error) {
+	long := bytes.Clone(start)
+	for {
+		part, err := r.buf.ReadSlice('\n')
+		long = append(long, part...)
+		if len(long) > maxLineBytes {
+			return nil, errors.New("an event line is longer than 1 MiB")
+		}
+		if err == nil {
+			return bytes.TrimRight(long, "\r\n"), nil
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return nil, err
+		}
+	}
+}
+
+func field(line []byte, name string) ([]byte, bool) {
+	if !bytes.HasPrefix(line, []byte(name)) {
+		return nil, false
+	}
+	value := line[len(name):]
+	return bytes.TrimPrefix(value, []byte(" ")), true
+}
--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,324 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hibiscuspulley/hibiscuspulley/pkg/caller"
+)
+
+const (
+	// graceTime is how long word of a change may take to reach the entries.
+	graceTime = 2 * time.Second
+	// zoneGraceTime is the same for a zone that operators take out.
+	zoneGraceTime = 3 * time.Second
+	// resumeWindow is how long a broken answer can be resumed.
+	resumeWindow = 3 * time.Second
+	// bytesPerToken approximates the length of a prompt token.
+	bytesPerToken = 4
+
+	defaultMaxTokens = 32
+	cacheBlocks      = 4096
+)
+
+// EngineSpeed is how fast an engine works.
+type EngineSpeed struct {
+	// TokenInterval is the time between two tokens of one answer.
+	TokenInterval time.Duration
+	// PrefillPerToken is the time to read one uncached prompt token.
+	PrefillPerToken time.Duration
+	// LoadTime is the time to load a model.
+	LoadTime time.Duration
+	// ColdTime is how long the engine stays cold after loading.
+	ColdTime time.Duration
+	// Slots is how many answers run at once; more wait.
+	Slots int
+	// ColdLimit is how many requests a cold engine bears.
+	ColdLimit int
+}
+
+// Engine stands in for one model engine.
+type Engine struct {
+	// MemberMissing reports whether the member at an address can't serve.
+	MemberMissing func(address string) bool
+
+	speed  EngineSpeed
+	fences bool
+
+	mu        sync.Mutex
+	faults    EngineFaults
+	counts    EngineCounts
+	order     engineOrderWire
+	model     string
+	loadedAt  time.Time
+	coldUntil time.Time
+	coldKnown time.Time
+	missingAt time.Time
+	zoneOutAt time.Time
+	streams   map[string]*engineStream
+	running   int
+	waiting   []chan struct{}
+	cache     *prefixCache
+	mux       *http.ServeMux
+}
+
+// NewEngine returns an idle engine. With fences it refuses stale orders.
+func NewEngine(speed EngineSpeed, fences bool) *Engine {
+	e := &Engine{
+		MemberMissing: func(string) bool { return false },
+		speed:         speed,
+		fences:        fences,
+		streams:       make(map[string]*engineStream),
+		cache:         newPrefixCache(cacheBlocks),
+		mux:           http.NewServeMux(),
+	}
+	e.mux.HandleFunc("POST /v1/chat/completions", e.serveGenerate)
+	e.mux.HandleFunc("POST /v1/completions", e.serveGenerate)
+	e.mux.HandleFunc("POST /v1/responses/{id}/cancel", e.serveCancel)
+	e.mux.HandleFunc("GET /health", e.serveHealth)
+	e.mux.HandleFunc("PUT /role", e.serveOrder)
+	e.mux.HandleFunc("PUT /control", e.serveControl)
+	e.mux.HandleFunc("PUT /control/cold", e.serveTurnCold)
+	e.mux.HandleFunc("GET /control/counts", e.serveCounts)
+	return e
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !strings.HasPrefix(r.URL.Path, "/control") {
+		e.mu.Lock()
+		faults := e.faults
+		e.mu.Unlock()
+		if faults.Dead {
+			panic(http.ErrAbortHandler)
+		}
+		if faults.Paused {
+			e.waitUnpaused(r.Context())
+		}
+	}
+	e.mux.ServeHTTP(w, r)
+}
+
+const pausePollInterval = 20 * time.Millisecond
+
+func (e *Engine) waitUnpaused(ctx context.Context) {
+	for ctx.Err() == nil {
+		e.mu.Lock()
+		paused := e.faults.Paused
+		e.mu.Unlock()
+		if !paused {
+			return
+		}
+		time.Sleep(pausePollInterval)
+	}
+}
+
+// SetFaults replaces the engine's faults. Death ends its running answers and
+// forgets its role.
+func (e *Engine) SetFaults(f EngineFaults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+	if !f.Dead {
+		return
+	}
+	for _, s := range e.streams {
+		s.stop()
+	}
+	e.streams = make(map[string]*engineStream)
+	e.order = engineOrderWire{}
+	e.model = ""
+}
+
+// TurnCold makes the engine cold again without a warning.
+func (e *Engine) TurnCold() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	e.coldUntil = now.Add(e.speed.ColdTime)
+	e.coldKnown = now.Add(graceTime)
+}
+
+// SetZoneOut tells the engine that its zone was taken out or brought back.
+func (e *Engine) SetZoneOut(out bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.zoneOutAt = time.Time{}
+	if out {
+		e.zoneOutAt = time.Now()
+	}
+}
+
+// Missing reports whether the engine can't take part in a group.
+func (e *Engine) Missing(group string, generation uint64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.Dead || e.faults.Paused {
+		return true
+	}
+	return e.order.Group != group || e.order.Generation < generation
+}
+
+// Counts returns what the engine has counted.
+func (e *Engine) Counts() EngineCounts {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.counts
+}
+
+// Group returns the group and generation of the engine's last order.
+func (e *Engine) Group() (group string, generation uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.order.Group, e.order.Generation
+}
+
+func (e *Engine) state(now time.Time) string {
+	switch {
+	case e.order.Group == "":
+		return "idle"
+	case now.Before(e.loadedAt):
+		return "loading"
+	case now.Before(e.coldUntil):
+		return "cold"
+	default:
+		return "warm"
+	}
+}
+
+// incomplete reports whether a member has been missing for the grace time.
+func (e *Engine) incomplete(now time.Time) (missing, known bool) {
+	order := e.order
+	for rank, address := range order.Members {
+		if rank == order.Rank {
+			continue
+		}
+		if e.MemberMissing(address) {
+			missing = true
+		}
+	}
+	if !missing {
+		e.missingAt = time.Time{}
+		return false, false
+	}
+	if e.missingAt.IsZero() {
+		e.missingAt = now
+	}
+	return true, now.Sub(e.missingAt) > graceTime
+}
+
+// Watch notes when members go missing. The owner calls it regularly.
+func (e *Engine) Watch() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.incomplete(time.Now())
+}
+
+func (e *Engine) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	writeJSON(w, engineHealthWire{
+		State:      e.state(time.Now()),
+		Group:      e.order.Group,
+		Generation: e.order.Generation,
+		Running:    e.running,
+		Queued:     len(e.waiting),
+		Leaving:    e.faults.Leaving,
+	})
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var order engineOrderWire
+	if !readJSON(w, r, &order) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if order.Generation < e.order.Generation {
+		e.counts.StaleOrders++
+		if e.fences {
+			http.Error(w, "stale generation", http.StatusConflict)
+			return
+		}
+	}
+	e.apply(order, time.Now())
+}
+
+// apply takes an order over. The same members and model under a newer
+// generation need no new start.
+func (e *Engine) apply(order engineOrderWire, now time.Time) {
+	same := order.Group == e.order.Group && order.Model == e.model &&
+		strings.Join(order.Members, ",") == strings.Join(e.order.Members, ",")
+	e.order = order
+	if same {
+		return
+	}
+	e.model = order.Model
+	e.loadedAt = now.Add(e.speed.LoadTime)
+	e.coldUntil = e.loadedAt.Add(e.speed.ColdTime)
+	e.coldKnown = now
+	e.missingAt = time.Time{}
+	for _, s := range e.streams {
+		s.stop()
+	}
+	e.streams = make(map[string]*engineStream)
+}
+
+func (e *Engine) serveCancel(_ http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	s := e.streams[r.PathValue("id")]
+	delete(e.streams, r.PathValue("id"))
+	e.mu.Unlock()
+	if s != nil {
+		s.stop()
+	}
+}
+
+func (e *Engine) serveControl(w http.ResponseWriter, r *http.Request) {
+	var faults EngineFaults
+	if readJSON(w, r, &faults) {
+		e.SetFaults(faults)
+	}
+}
+
+func (e *Engine) serveTurnCold(http.ResponseWriter, *http.Request) {
+	e.TurnCold()
+}
+
+func (e *Engine) serveCounts(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, e.Counts())
+}
+
+func refuseNotRun(w http.ResponseWriter, reason string) {
+	w.Header().Set(caller.RunHeader, string(caller.NotRun))
+	http.Error(w, reason, http.StatusServiceUnavailable)
+}
+
+// count notes a request that the promises forbid.
+func (e *Engine) count(now time.Time) {
+	e.counts.Requests++
+	if _, known := e.incomplete(now); known {
+		e.counts.SentToIncompleteGroup++
+	}
+	if !e.zoneOutAt.IsZero() && now.Sub(e.zoneOutAt) > zoneGraceTime {
+		e.counts.SentToZoneOut++
+	}
+	over := e.running+len(e.waiting) >= e.speed.ColdLimit
+	if e.state(now) == "cold" && over && now.After(e.coldKnown) {
+		e.counts.ColdLimitExceeded++
+	}
+}
+
+// lastEvent returns the event number that a resuming caller saw last.
+func lastEvent(r *http.Request) (int, bool) {
+	_, number, found := strings.Cut(r.Header.Get("Last-Event-ID"), "/")
+	if !found {
+		return 0, false
+	}
+	n, err := strconv.Atoi(number)
+	return n, err == nil
+}
--- /dev/null
+++ b/internal/standin/engine_stream.go
@@ -0,0 +1,151 @@
+package standin
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// engineStream is one answer under way. It is kept for a while after its
+// connection broke, so that it can be resumed.
+type engineStream struct {
+	id       string
+	model    string
+	chat     bool
+	max      int
+	created  int64
+	digest   *xxhash.Digest
+	mu       sync.Mutex
+	tokens   []string
+	done     bool
+	stopped  bool
+	changed  chan struct{}
+	attached int
+	detached time.Time
+}
+
+func newEngineStream(id string, request generateWire, chat bool) *engineStream {
+	s := &engineStream{
+		id:      id,
+		model:   request.Model,
+		chat:    chat,
+		max:     request.MaxTokens,
+		created: time.Now().Unix(),
+		digest:  xxhash.New(),
+		changed: make(chan struct{}),
+	}
+	_, _ = s.digest.WriteString(renderPrompt(request))
+	return s
+}
+
+// renderPrompt joins the messages as a chat template does. A final message
+// that is to be continued stays open, so that its continuation is the same
+// text as an uninterrupted answer.
+func renderPrompt(request generateWire) string {
+	text := request.Prompt
+	for i, message := range request.Messages {
+		open := request.ContinueFinalMessage && i == len(request.Messages)-1
+		if open {
+			return text + "<assistant>" + message.Content
+		}
+		text += "<" + message.Role + ">" + message.Content
+	}
+	if len(request.Messages) > 0 {
+		text += "<assistant>"
+	}
+	return text
+}
+
+// step produces the next token, a function of all the text before it.
+func (s *engineStream) step() {
+	token := " " + strconv.FormatUint(s.digest.Sum64()%0xffff, 36)
+	_, _ = s.digest.WriteString(token)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tokens = append(s.tokens, token)
+	s.done = len(s.tokens) >= s.max
+	s.announce()
+}
+
+func (s *engineStream) announce() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *engineStream) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = true
+	s.announce()
+}
+
+func (s *engineStream) over() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.done || s.stopped
+}
+
+// view returns the tokens from number n on, whether they are the last, and a
+// channel that closes at the next change.
+func (s *engineStream) view(n int) (tokens []string, done, stopped bool, changed <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n < len(s.tokens) {
+		tokens = s.tokens[n:]
+	}
+	return tokens, s.done, s.stopped, s.changed
+}
+
+func (s *engineStream) attach(change int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.attached += change
+	s.detached = time.Now()
+}
+
+func (s *engineStream) abandoned(window time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.attached == 0 && time.Since(s.detached) > window
+}
+
+// chunk appends the OpenAI chunk of a token, or of the end for an empty one.
+func (s *engineStream) chunk(buf []byte, token, finish string) []byte {
+	object, prefix := "text_completion", "cmpl-"
+	if s.chat {
+		object, prefix = "chat.completion.chunk", "chatcmpl-"
+	}
+	buf = append(buf, `{"id":"`...)
+	buf = append(buf, prefix...)
+	buf = append(buf, s.id...)
+	buf = append(buf, `","object":"`...)
+	buf = append(buf, object...)
+	buf = append(buf, `","created":`...)
+	buf = strconv.AppendInt(buf, s.created, 10)
+	buf = append(buf, `,"model":`...)
+	buf = strconv.AppendQuote(buf, s.model)
+	buf = append(buf, `,"choices":[{"index":0,`...)
+	buf = s.content(buf, token)
+	buf = append(buf, `,"finish_reason":`...)
+	if finish == "" {
+		return append(buf, `null}]}`...)
+	}
+	buf = strconv.AppendQuote(buf, finish)
+	return append(buf, `}]}`...)
+}
+
+func (s *engineStream) content(buf []byte, token string) []byte {
+	switch {
+	case s.chat && token == "":
+		return append(buf, `"delta":{}`...)
+	case s.chat:
+		buf = append(buf, `"delta":{"content":`...)
+		buf = strconv.AppendQuote(buf, token)
+		return append(buf, '}')
+	default:
+		buf = append(buf, `"text":`...)
+		return strconv.AppendQuote(buf, token)
+	}
+}
--- /dev/null
+++ b/internal/standin/table.go
@@ -0,0 +1,89 @@
+package standin
+
+import (
+	"sort"
+	"strings"
+	"sync"
+)
+
+type tableRow struct {
+	value   []byte
+	version int64
+}
+
+// Table is an in-memory transactional table.
+type Table struct {
+	mu       sync.Mutex
+	rows     map[string]tableRow
+	revision int64
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{rows: make(map[string]tableRow)}
+}
+
+// scan returns the keys from start up to but without end, in order; an empty
+// end selects only start.
+func (t *Table) scan(start, end string) []string {
+	var keys []string
+	for key := range t.rows {
+		if key == start || (end != "" && key >= start && key < end) {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// Keys returns the keys that begin with prefix, in order.
+func (t *Table) Keys(prefix string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var keys []string
+	for key := range t.rows {
+		if strings.HasPrefix(key, prefix) {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// Value returns the row's content, nil if it is absent.
+func (t *Table) Value(key string) []byte {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rows[key].value
+}
+
+func (t *Table) read(start, end string) []rowWire {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rows := []rowWire{}
+	for _, key := range t.scan(start, end) {
+		row := t.rows[key]
+		rows = append(rows, rowWire{Key: []byte(key), Value: row.value, Version: row.version})
+	}
+	return rows
+}
+
+func (t *Table) commit(txn txnRequestWire) (succeeded bool, revision int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, compare := range txn.Compares {
+		if t.rows[string(compare.Key)].version != compare.Version {
+			return false, t.revision
+		}
+	}
+	t.revision++
+	for _, op := range txn.Success {
+		if op.Put != nil {
+			t.rows[string(op.Put.Key)] = tableRow{value: op.Put.Value, version: t.revision}
+		}
+		if op.Delete != nil {
+			delete(t.rows, string(op.Delete.Key))
+		}
+	}
+	return true, t.revision
+}
--- /dev/null
+++ b/internal/standin/wire.go
@@ -0,0 +1,49 @@
+package standin
+
+// Wire types of the etcd v3 JSON gateway as the table stand-in answers it.
+// They are kept apart from the client's, so that a mistake in one shows
+// against the other.
+
+type rowWire struct {
+	Key     []byte `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Version int64  `json:"mod_revision,string"`
+}
+
+type rangeWire struct {
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end"`
+}
+
+type rowsWire struct {
+	Rows []rowWire `json:"kvs"`
+}
+
+type keyValueWire struct {
+	Key   []byte `json:"key"`
+	Value []byte `json:"value"`
+}
+
+type operationWire struct {
+	Put    *keyValueWire `json:"request_put"`
+	Delete *keyValueWire `json:"request_delete_range"`
+}
+
+type compareWire struct {
+	Key     []byte `json:"key"`
+	Version int64  `json:"mod_revision,string"`
+}
+
+type txnRequestWire struct {
+	Compares []compareWire   `json:"compare"`
+	Success  []operationWire `json:"success"`
+}
+
+type revisionWire struct {
+	Revision int64 `json:"revision,string"`
+}
+
+type txnReplyWire struct {
+	Header    revisionWire `json:"header"`
+	Succeeded bool         `json:"succeeded"`
+}
--- /dev/null
+++ b/pkg/caller/error.go
@@ -0,0 +1,75 @@
+package caller
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Error is a refusal or failure as a caller sees it.
+type Error struct {
+	// Status is the HTTP status code.
+	Status int
+	// Code is a stable machine-readable reason in kebab case.
+	Code string
+	// Message tells a person what happened and what to do.
+	Message string
+	// Run says what became of the request.
+	Run RunState
+	// RetryAfter is when a new try may succeed; 0 means no advice.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return e.Code + ": " + e.Message
+}
+
+type errorWire struct {
+	Error errorBodyWire `json:"error"`
+}
+
+type errorBodyWire struct {
+	Message string  `json:"message"`
+	Type    string  `json:"type"`
+	Param   *string `json:"param"`
+	Code    string  `json:"code"`
+}
+
+// Body returns the error in the OpenAI error shape.
+func (e *Error) Body() []byte {
+	body := errorBodyWire{Message: e.Message, Type: errorType(e.Status), Code: e.Code}
+	encoded, err := json.Marshal(errorWire{Error: body})
+	if err != nil {
+		panic(err) // strings always encode
+	}
+	return encoded
+}
+
+// Write sends the error as the whole reply.
+func (e *Error) Write(w http.ResponseWriter) {
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(RunHeader, string(e.Run))
+	if e.RetryAfter > 0 {
+		seconds := int(math.Ceil(e.RetryAfter.Seconds()))
+		header.Set("Retry-After", strconv.Itoa(seconds))
+	}
+	w.WriteHeader(e.Status)
+	_, _ = w.Write(e.Body())
+}
+
+func errorType(status int) string {
+	switch {
+	case status == http.StatusUnauthorized:
+		return "authentication_error"
+	case status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status < http.StatusInternalServerError:
+		return "invalid_request_error"
+	default:
+		return "server_error"
+	}
+}
--- /dev/null
+++ b/pkg/engine/request.go
@@ -0,0 +1,52 @@
+package engine
+
+import (
+	"net/http"
+	"strconv"
+)
+
+// Headers of a generation request beside those of the OpenAI API.
+const (
+	// RequestIDHeader carries the attempt's unguessable identifier. The
+	// engine repeats it in the id of every event.
+	RequestIDHeader = "X-Request-Id"
+	// ResumeHeader carries the id of the last event received, as in the
+	// server-sent events standard.
+	ResumeHeader = "Last-Event-ID"
+	// GenerationHeader carries the replica group's fencing token.
+	GenerationHeader = "X-Group-Generation"
+	// PriorityHeader carries the request's priority; lower goes first.
+	PriorityHeader = "X-Request-Priority"
+)
+
+// Request is one attempt to generate an answer.
+type Request struct {
+	// Path is the OpenAI API path, such as /v1/chat/completions.
+	Path string
+	// ID is the attempt's unguessable identifier.
+	ID string
+	// Body is the OpenAI request body with streaming on.
+	Body []byte
+	// Generation is the replica group's fencing token.
+	Generation uint64
+	// Priority orders requests in the engine; lower goes first.
+	Priority int
+	// ResumeAfter resumes behind this event number; nil starts anew.
+	ResumeAfter *int
+}
+
+func (r Request) setHeaders(header http.Header) {
+	header.Set("Content-Type", "application/json")
+	header.Set("Accept", "text/event-stream")
+	header.Set(RequestIDHeader, r.ID)
+	header.Set(GenerationHeader, strconv.FormatUint(r.Generation, 10))
+	header.Set(PriorityHeader, strconv.Itoa(r.Priority))
+	if r.ResumeAfter != nil {
+		header.Set(ResumeHeader, EventID(r.ID, *r.ResumeAfter))
+	}
+}
+
+// EventID returns the id of event number n of an attempt.
+func EventID(requestID string, n int) string {
+	return requestID + "/" + strconv.Itoa(n)
+}
--- /dev/null
+++ b/pkg/platform/client.go
@@ -0,0 +1,173 @@
+package platform
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/dghubble/sling"
+	"github.com/pkg/errors"
+)
+
+const (
+	// DefaultTimeout bounds one call to the platform.
+	DefaultTimeout = 2 * time.Second
+
+	maxIdleConns = 16
+)
+
+// Client reaches the platform's services. It is safe for concurrent use.
+type Client struct {
+	tableURL     string
+	objectsURL   string
+	instancesURL string
+	timeout      time.Duration
+	httpClient   *http.Client
+	transport    *http.Transport
+}
+
+// Option changes a Client under construction.
+type Option func(*Client)
+
+// WithObjects sets the base URL of the object store's bucket.
+func WithObjects(url string) Option {
+	return func(c *Client) { c.objectsURL = url }
+}
+
+// WithInstances sets the URL of the instance list.
+func WithInstances(url string) Option {
+	return func(c *Client) { c.instancesURL = url }
+}
+
+// WithTimeout bounds each call.
+func WithTimeout(d time.Duration) Option {
+	return func(c *Client) { c.timeout = d }
+}
+
+// WithDial replaces the function that opens connections.
+func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(c *Client) { c.transport.DialContext = dial }
+}
+
+// NewClient returns a client of the table at tableURL.
+func NewClient(tableURL string, opts ...Option) *Client {
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: maxIdleConns,
+		IdleConnTimeout:     30 * time.Second,
+	}
+	c := &Client{tableURL: tableURL, timeout: DefaultTimeout, transport: transport}
+	for _, opt := range opts {
+		opt(c)
+	}
+	c.httpClient = &http.Client{Transport: transport}
+	return c
+}
+
+// Close releases the client's idle connections.
+func (c *Client) Close() {
+	c.transport.CloseIdleConnections()
+}
+
+// Range returns the rows whose keys begin with prefix, ordered by key.
+// It fails with ErrUnavailable when the platform does not answer.
+func (c *Client) Range(ctx context.Context, prefix string) ([]Row, error) {
+	return c.readRange(ctx, rangeRequestWire{Key: []byte(prefix), RangeEnd: prefixEnd(prefix)})
+}
+
+// Get returns the row at key, and whether it exists.
+// It fails with ErrUnavailable when the platform does not answer.
+func (c *Client) Get(ctx context.Context, key string) (Row, bool, error) {
+	rows, err := c.readRange(ctx, rangeRequestWire{Key: []byte(key)})
+	if err != nil || len(rows) == 0 {
+		return Row{}, false, err
+	}
+	return rows[0], true, nil
+}
+
+func (c *Client) readRange(ctx context.Context, request rangeRequestWire) ([]Row, error) {
+	var response rangeResponseWire
+	if _, err := c.post(ctx, "/v3/kv/range", request, &response); err != nil {
+		return nil, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	return decodeRows(response.Rows), nil
+}
+
+// Commit runs txn. An answer that is lost after the write is resolved by
+// reading the first written row back: every writer puts an attempt identifier
+// into its values, so that equal bytes mean that this very write took effect.
+// It fails with ErrUnavailable when the write did not run, and with
+// ErrUnknownOutcome when that cannot be told.
+func (c *Client) Commit(ctx context.Context, txn Transaction) (Outcome, error) {
+	var response txnResponseWire
+	status, err := c.post(ctx, "/v3/kv/txn", encodeTransaction(txn), &response)
+	if err == nil {
+		return Outcome{Succeeded: response.Succeeded, Version: response.Header.Revision}, nil
+	}
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		return Outcome{}, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	if isDialError(err) {
+		return Outcome{}, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	return c.readBack(ctx, txn, err)
+}
+
+func (c *Client) readBack(ctx context.Context, txn Transaction, cause error) (Outcome, error) {
+	unknown := errors.Wrap(ErrUnknownOutcome, cause.Error())
+	if len(txn.Puts) == 0 {
+		return Outcome{}, unknown
+	}
+	row, found, err := c.Get(ctx, txn.Puts[0].Key)
+	if err != nil || !found {
+		return Outcome{}, unknown
+	}
+	if string(row.Value) != string(txn.Puts[0].Value) {
+		return Outcome{}, unknown
+	}
+	return Outcome{Succeeded: true, Version: row.Version}, nil
+}
+
+// post sends one JSON call and returns the HTTP status, 0 without an answer.
+func (c *Client) post(ctx context.Context, path string, body, response any) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	request, err := sling.New().Base(c.tableURL).Post(path).BodyJSON(body).Request()
+	if err != nil {
+		return 0, errors.Wrap(err, "build the request")
+	}
+	reply, err := sling.New().Client(c.httpClient).Do(request.WithContext(ctx), response, nil)
+	if err != nil {
+		c.retireConnections(ctx)
+		return 0, err
+	}
+	if reply.StatusCode != http.StatusOK {
+		return reply.StatusCode, errors.Errorf("the platform answered %s", reply.Status)
+	}
+	return reply.StatusCode, nil
+}
+
+// retireConnections drops the idle connections after a timeout: where one
+// connection has gone silent, the others of the pool may have too.
+func (c *Client) retireConnections(ctx context.Context) {
+	if ctx.Err() != nil {
+		c.transport.CloseIdleConnections()
+	}
+}
+
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// prefixEnd returns the first key after all keys that begin with prefix.
+func prefixEnd(prefix string) []byte {
+	end := []byte(prefix)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return end[:i+1]
+		}
+	}
+	return []byte{0}
+}
--- /dev/null
+++ b/pkg/platform/objects.go
@@ -0,0 +1,43 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// maxObjectBytes bounds an object read into memory.
+const maxObjectBytes = 16 << 20
+
+// PutObject stores body under key in the object store.
+func (c *Client) PutObject(ctx context.Context, key string, body []byte) error {
+	_, err := c.object(ctx, http.MethodPut, key, body)
+	return err
+}
+
+// GetObject returns the object at key, of at most 16 MiB.
+func (c *Client) GetObject(ctx context.Context, key string) ([]byte, error) {
+	return c.object(ctx, http.MethodGet, key, nil)
+}
+
+func (c *Client) object(ctx context.Context, method, key string, body []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, c.objectsURL+"/"+key, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "build the request")
+	}
+	reply, err := c.httpClient.Do(request)
+	if err != nil {
+		c.retireConnections(ctx)
+		return nil, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	defer reply.Body.Close()
+	if reply.StatusCode != http.StatusOK {
+		return nil, errors.Wrap(ErrUnavailable, reply.Status)
+	}
+	return io.ReadAll(io.LimitReader(reply.Body, maxObjectBytes))
+}
