Entry: sessions, replica groups, permits, routing and the data path, thin

Change: decision logic for sessions, groups, permits, queues and retries, the peer exchange, the entry that wires them, and a fleet of entries and stand-ins in one process. No failure test yet.

--- /dev/null
+++ b/internal/entry/budgets.go
@@ -0,0 +1,28 @@
+package entry
+
+import (
+	"sync"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/retry"
+)
+
+// budgets holds the retry budget of each service.
+type budgets struct {
+	mu     sync.Mutex
+	byName map[string]*retry.Budget
+}
+
+func newBudgets() *budgets {
+	return &budgets{byName: make(map[string]*retry.Budget)}
+}
+
+func (b *budgets) of(service string) *retry.Budget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	budget := b.byName[service]
+	if budget == nil {
+		budget = retry.NewBudget()
+		b.byName[service] = budget
+	}
+	return budget
+}
--- /dev/null
+++ b/internal/entry/listener.go
@@ -0,0 +1,85 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/event"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/settings"
+)
+
+// httpListener is one listening address with its server.
+type httpListener struct {
+	listener net.Listener
+	server   *http.Server
+	done     chan struct{}
+}
+
+// newListener opens an address; serve starts answering on it.
+func newListener(cfg settings.Listener, limits settings.Limits, listen ListenFunc) (*httpListener, error) {
+	listener, err := listen("tcp", cfg.Address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", cfg.Address)
+	}
+	if cfg.CertificateFile != "" {
+		certificate, err := tls.LoadX509KeyPair(cfg.CertificateFile, cfg.PrivateKeyFile)
+		if err != nil {
+			_ = listener.Close()
+			return nil, errors.Wrapf(err, "load the TLS certificate of %s", cfg.Address)
+		}
+		listener = tls.NewListener(listener, &tls.Config{
+			Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12,
+		})
+	}
+	return &httpListener{
+		listener: listener,
+		done:     make(chan struct{}),
+		server: &http.Server{
+			ReadHeaderTimeout: limits.HeaderTimeout,
+			IdleTimeout:       limits.IdleTimeout,
+			MaxHeaderBytes:    limits.HeaderBytes,
+		},
+	}, nil
+}
+
+func (l *httpListener) address() string {
+	return l.listener.Addr().String()
+}
+
+// serve answers with the handler until shutdown or close.
+func (l *httpListener) serve(logger *logrus.Logger, handler http.Handler) {
+	l.server.Handler = handler
+	l.server.ErrorLog = nil
+	go func() {
+		defer close(l.done)
+		err := l.server.Serve(l.listener)
+		if !errors.Is(err, http.ErrServerClosed) {
+			event.ListenerFailed.Log(logger, logrus.Fields{"address": l.address(), "error": err})
+		}
+	}()
+}
+
+// shutdown takes no new connections and waits for the requests in progress.
+func (l *httpListener) shutdown(ctx context.Context) error {
+	err := l.server.Shutdown(ctx)
+	if err != nil {
+		_ = l.server.Close()
+	}
+	<-l.done
+	return err
+}
+
+// closeNow ends all connections.
+func (l *httpListener) closeNow() {
+	_ = l.server.Close()
+	select {
+	case <-l.done:
+	case <-time.After(time.Second):
+	}
+}
--- /dev/null
+++ b/internal/entry/operator_api.go
@@ -0,0 +1,228 @@
+package entry
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/config"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/grouping"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/membership"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/permit"
+	"github.com/hibiscuspulley/hibiscuspulley/pkg/operator"
+	"github.com/hibiscuspulley/hibiscuspulley/pkg/platform"
+)
+
+const (
+	maxChangeBytes = 1 << 20
+	revisionPath   = "/revision"
+	// confirmTimeout bounds the asking of one entry for its revision.
+	confirmTimeout = 2 * time.Second
+)
+
+// operatorAPI serves operators.
+type operatorAPI struct {
+	key        string
+	identity   membership.Session
+	config     *config.Log
+	configurer *configurer
+	platform   *platform.Client
+	health     *platformHealth
+	holder     *membership.Holder
+	views      *viewKeeper
+	watches    *watches
+	permits    *permit.Holder
+	peers      *peers
+	counts     *counts
+	ready      func() bool
+}
+
+// handler returns the handler of the operator listener.
+func (a *operatorAPI) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /config", a.serveConfig)
+	mux.HandleFunc("GET /config/history", a.serveHistory)
+	mux.HandleFunc("POST /config/changes", a.serveChange)
+	mux.HandleFunc("GET /status", a.serveStatus)
+	mux.HandleFunc("GET /instances", a.serveInstances)
+	mux.HandleFunc("GET /confirmations", a.serveConfirmations)
+	mux.HandleFunc("GET /debug/vars", a.serveMetrics)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		given := []byte(r.Header.Get("Authorization"))
+		if subtle.ConstantTimeCompare(given, []byte("Bearer "+a.key)) != 1 {
+			writeProblem(w, http.StatusUnauthorized, "wrong operator key; set --key-file to the operators' key")
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func writeProblem(w http.ResponseWriter, status int, message string) {
+	write(w, status, operator.EncodeProblem(&operator.Problem{Message: message}))
+}
+
+func write(w http.ResponseWriter, status int, body []byte) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
+
+func (a *operatorAPI) serveConfig(w http.ResponseWriter, _ *http.Request) {
+	state := a.config.State()
+	write(w, http.StatusOK, operator.EncodeConfiguration(operator.Configuration{
+		Revision: state.Revision(), Defaults: state.Defaults(), Changes: state.Snapshot(),
+	}))
+}
+
+func (a *operatorAPI) serveHistory(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	state := a.config.State()
+	changes, complete := a.config.After(after)
+	if !complete {
+		var err error
+		if changes, err = a.readHistory(r.Context(), after, state.Revision()); err != nil {
+			writeProblem(w, http.StatusServiceUnavailable, "the platform keeps the older history and can't be reached; ask for a later revision")
+			return
+		}
+	}
+	write(w, http.StatusOK, operator.EncodeConfiguration(operator.Configuration{
+		Revision: state.Revision(), Defaults: state.Defaults(), Changes: changes,
+	}))
+}
+
+func (a *operatorAPI) readHistory(ctx context.Context, after, last uint64) ([]operator.Change, error) {
+	rows, err := a.platform.Between(ctx, config.DeltaKey(after+1), config.DeltaKey(last+1))
+	if err != nil {
+		return nil, err
+	}
+	encoded := make([][]byte, 0, len(rows))
+	for _, row := range rows {
+		encoded = append(encoded, row.Value)
+	}
+	return config.DecodeChanges(encoded)
+}
+
+func (a *operatorAPI) serveChange(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxChangeBytes))
+	if err != nil {
+		writeProblem(w, http.StatusBadRequest, "the change did not arrive whole")
+		return
+	}
+	change, err := operator.DecodeChange(body)
+	if err != nil {
+		writeProblem(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if problems := a.config.State().Check(change); len(problems) > 0 {
+		writeFindings(w, problems)
+		return
+	}
+	accepted, conflict, err := a.configurer.commit(r.Context(), change)
+	switch {
+	case conflict != nil:
+		write(w, http.StatusConflict, operator.EncodeProblem(&operator.Problem{
+			Message: "another change came first; read the configuration again and decide anew", Conflict: conflict,
+		}))
+	case err != nil:
+		writeProblem(w, http.StatusServiceUnavailable, "the change was not accepted: "+err.Error())
+	default:
+		write(w, http.StatusOK, operator.EncodeChange(accepted))
+	}
+}
+
+func writeFindings(w http.ResponseWriter, problems []config.Problem) {
+	p := &operator.Problem{Message: "the change is not valid"}
+	for _, problem := range problems {
+		p.Details = append(p.Details, problem.String())
+	}
+	write(w, http.StatusUnprocessableEntity, operator.EncodeProblem(p))
+}
+
+func (a *operatorAPI) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	session, open := a.holder.Current()
+	s := operator.Status{
+		Entry: a.identity.Entry, Zone: a.identity.Zone,
+		Revision: a.config.State().Revision(), Ready: a.ready(),
+		PlatformReachable: a.health.reachable(), Peers: a.peers.statuses(), Groups: a.groups(),
+	}
+	if open {
+		s.SessionEpoch = session.Epoch
+	}
+	write(w, http.StatusOK, operator.EncodeStatus(s))
+}
+
+func (a *operatorAPI) groups() []operator.GroupStatus {
+	now := time.Now()
+	downtime := make(map[string]time.Duration)
+	for _, s := range a.watches.statuses(now, 0) {
+		downtime[s.group.Name] = s.downtime
+	}
+	var list []operator.GroupStatus
+	for _, g := range a.views.current().Groups {
+		status := groupStatus(g.Group, a.permits.Status(g.Name, now))
+		status.Downtime = downtime[g.Name]
+		list = append(list, status)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list
+}
+
+func groupStatus(g grouping.Group, p permit.Status) operator.GroupStatus {
+	s := operator.GroupStatus{
+		Name: g.Name, Service: g.Service, Zone: g.Zone, Domain: g.Domain,
+		Owner: g.Owner.Entry, Generation: g.Generation,
+		Credits: p.Credits, InFlight: p.InFlight, Valid: p.Valid, Cold: p.Cold,
+	}
+	for _, m := range g.Members {
+		s.Members = append(s.Members, m.Instance)
+	}
+	return s
+}
+
+func (a *operatorAPI) serveInstances(w http.ResponseWriter, _ *http.Request) {
+	view := a.views.current()
+	state := a.config.State()
+	var list []operator.InstanceStatus
+	for _, i := range view.Instances {
+		assignment := view.Assignments[i.Name]
+		word := state.Instance(i.Name)
+		list = append(list, operator.InstanceStatus{
+			Name: i.Name, Address: i.Address, Zone: i.Zone, Domain: i.FabricDomain, Service: i.Service,
+			Group: assignment.Group, Leaving: i.Leaving, Drained: word.Drained, Held: word.Held,
+			Quarantined: assignment.Quarantined,
+		})
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	write(w, http.StatusOK, operator.EncodeInstances(list))
+}
+
+func (a *operatorAPI) serveConfirmations(w http.ResponseWriter, r *http.Request) {
+	write(w, http.StatusOK, operator.EncodeConfirmations(a.peers.confirmations(r.Context())))
+}
+
+// serveMetrics writes the entry's expvar map.
+func (a *operatorAPI) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	write(w, http.StatusOK, []byte(a.counts.all.String()))
+}
+
+type revisionWire struct {
+	Entry    string `json:"entry"`
+	Zone     string `json:"zone"`
+	Revision uint64 `json:"revision"`
+}
+
+// serveRevision tells a peer which revision is in force here.
+func (a *operatorAPI) serveRevision(w http.ResponseWriter, _ *http.Request) {
+	body, err := json.Marshal(revisionWire{
+		Entry: a.identity.Entry, Zone: a.identity.Zone, Revision: a.config.State().Revision(),
+	})
+	if err != nil {
+		panic(err) // plain data always encodes
+	}
+	write(w, http.StatusOK, body)
+}
--- /dev/null
+++ b/internal/entry/options.go
@@ -0,0 +1,72 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/grouping"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/membership"
+)
+
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// ListenFunc opens a listener.
+type ListenFunc func(network, address string) (net.Listener, error)
+
+// options are the parts of an Entry that vary.
+type options struct {
+	logger  *logrus.Logger
+	dial    DialFunc
+	listen  ListenFunc
+	timing  membership.Timing
+	planner func(grouping.Weights) grouping.Planner
+}
+
+// Option changes an Entry under construction.
+type Option func(*options)
+
+// WithLogger sets the logger.
+func WithLogger(l *logrus.Logger) Option {
+	return func(o *options) { o.logger = l }
+}
+
+// WithDial replaces the function that opens connections.
+func WithDial(dial DialFunc) Option {
+	return func(o *options) { o.dial = dial }
+}
+
+// WithListen replaces the function that opens listeners.
+func WithListen(listen ListenFunc) Option {
+	return func(o *options) { o.listen = listen }
+}
+
+// WithTiming replaces the durations of the session protocol.
+func WithTiming(t membership.Timing) Option {
+	return func(o *options) { o.timing = t }
+}
+
+// WithPlanner replaces the planner of replica groups.
+func WithPlanner(p func(grouping.Weights) grouping.Planner) Option {
+	return func(o *options) { o.planner = p }
+}
+
+func defaultOptions() options {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return options{
+		logger:  logrus.New(),
+		dial:    dialer.DialContext,
+		listen:  net.Listen,
+		timing:  membership.DefaultTiming(),
+		planner: grouping.NewPlanner,
+	}
+}
+
+// plainTransport returns a transport for unencrypted or platform-trusted
+// connections.
+func (o options) plainTransport() *http.Transport {
+	return &http.Transport{DialContext: o.dial, DisableCompression: true}
+}
--- /dev/null
+++ b/internal/entry/plain_api.go
@@ -0,0 +1,79 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/hibiscuspulley/hibiscuspulley/pkg/caller"
+	"github.com/hibiscuspulley/hibiscuspulley/pkg/operator"
+)
+
+// servePlain serves a call of a plain service.
+func (a *callerAPI) servePlain(w http.ResponseWriter, r *http.Request) {
+	reply, refused := a.plainReply(r)
+	if refused != nil {
+		a.counts.refused(refused)
+		a.counts.call(refused.Run)
+		refused.Write(w)
+		return
+	}
+	defer reply.Body.Close()
+	a.counts.call(caller.Ran)
+	removeHopHeaders(reply.Header)
+	for name, values := range reply.Header {
+		w.Header()[name] = values
+	}
+	w.Header().Set(caller.RunHeader, string(caller.Ran))
+	w.WriteHeader(reply.StatusCode)
+	if err := a.copyBody(w, reply.Body); err != nil {
+		panic(http.ErrAbortHandler) // the caller must not take it for whole
+	}
+}
+
+func (a *callerAPI) plainReply(r *http.Request) (*http.Response, *caller.Error) {
+	state := a.config.State()
+	organisation, refused := authenticate(state, r)
+	if refused != nil {
+		return nil, refused
+	}
+	if !a.ready() {
+		return nil, refusal("not-ready", "the entry starts or stops; use another one")
+	}
+	service, found := state.Service(r.PathValue("name"))
+	if !found || service.Kind != operator.PlainService {
+		return nil, &caller.Error{
+			Status: http.StatusNotFound, Code: "unknown-service", Run: caller.NotRun,
+			Message: "there is no plain service " + r.PathValue("name"),
+		}
+	}
+	if refused := a.router.enter(organisation.Name); refused != nil {
+		return nil, refused
+	}
+	defer a.router.exit(organisation.Name)
+	return a.plain.send(r, service, r.PathValue("path"))
+}
+
+// copyBody passes a reply's body on as it comes.
+func (a *callerAPI) copyBody(w http.ResponseWriter, body io.Reader) error {
+	control := http.NewResponseController(w)
+	buf := make([]byte, copyBytes)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			_ = control.SetWriteDeadline(time.Now().Add(a.limits.WriteTimeout))
+			if _, err := w.Write(buf[:n]); err != nil {
+				return err
+			}
+			_ = control.Flush()
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/session_keeper.go
@@ -0,0 +1,137 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/event"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/membership"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/peer"
+	"github.com/hibiscuspulley/hibiscuspulley/pkg/platform"
+)
+
+// sessionKeeper opens, renews and closes the entry's session.
+type sessionKeeper struct {
+	logger   *logrus.Logger
+	platform *platform.Client
+	health   *platformHealth
+	holder   *membership.Holder
+	timing   membership.Timing
+	identity membership.Session
+	// relay sends a session write through a peer of the zone.
+	relay func(ctx context.Context, r peer.Relay) (peer.RelayReply, bool)
+
+	mu sync.Mutex
+	// closing keeps the loop from opening a new session.
+	closing bool
+}
+
+// step renews the session, or opens one.
+func (k *sessionKeeper) step(ctx context.Context) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.closing {
+		return
+	}
+	next, version, open := k.holder.Renewal(newIdentifier())
+	if !open {
+		k.open(ctx)
+		return
+	}
+	k.renew(ctx, next, version)
+}
+
+func (k *sessionKeeper) open(ctx context.Context) {
+	row, err := k.read(ctx)
+	if err != nil {
+		return
+	}
+	next, free := k.holder.Open(row, newIdentifier())
+	if !free {
+		return // the silent session of an earlier run lapses first
+	}
+	sentAt := time.Now()
+	outcome, err := k.platform.Commit(ctx, membership.Write(next, row.Version))
+	if k.health.note(err) != nil || !outcome.Succeeded {
+		return
+	}
+	k.holder.Confirm(next, outcome.Version, sentAt)
+	event.SessionOpened.Log(k.logger, logrus.Fields{"epoch": next.Epoch})
+}
+
+func (k *sessionKeeper) read(ctx context.Context) (membership.Row, error) {
+	row, found, err := k.platform.Get(ctx, membership.Key(k.identity.Zone, k.identity.Entry))
+	if k.health.note(err) != nil || !found {
+		return membership.Row{}, err
+	}
+	return membership.Decode(row)
+}
+
+func (k *sessionKeeper) renew(ctx context.Context, next membership.Session, version int64) {
+	sentAt := time.Now()
+	outcome, err := k.platform.Commit(ctx, membership.Write(next, version))
+	if k.health.note(err) != nil {
+		k.renewThroughPeer(ctx, next, version)
+		return
+	}
+	if outcome.Succeeded {
+		k.holder.Confirm(next, outcome.Version, sentAt)
+		return
+	}
+	k.reconcile(ctx)
+}
+
+// reconcile reads the row after a write that found another version.
+func (k *sessionKeeper) reconcile(ctx context.Context) {
+	row, err := k.read(ctx)
+	if err != nil {
+		return
+	}
+	if !k.holder.Observe(row) {
+		event.SessionLost.Log(k.logger, logrus.Fields{"state": row.State})
+	}
+}
+
+func (k *sessionKeeper) renewThroughPeer(ctx context.Context, next membership.Session, version int64) {
+	write := membership.Write(next, version).Puts[0]
+	sentAt := time.Now()
+	reply, ok := k.relay(ctx, peer.Relay{Key: write.Key, Value: write.Value, Version: version})
+	if !ok || !reply.Succeeded {
+		return
+	}
+	k.holder.Confirm(next, reply.Version, sentAt)
+	event.SessionRelayed.Log(k.logger, nil)
+}
+
+// answerRelay writes a session row on behalf of a peer.
+func (k *sessionKeeper) answerRelay(ctx context.Context, r peer.Relay) peer.RelayReply {
+	outcome, err := k.platform.Commit(ctx, platform.Transaction{
+		Compares: []platform.Compare{{Key: r.Key, Version: r.Version}},
+		Puts:     []platform.Put{{Key: r.Key, Value: r.Value}},
+	})
+	if k.health.note(err) != nil {
+		return peer.RelayReply{}
+	}
+	return peer.RelayReply{Reached: true, Succeeded: outcome.Succeeded, Version: outcome.Version}
+}
+
+// close gives the session up, so that nobody has to wait for it to lapse.
+func (k *sessionKeeper) close(ctx context.Context) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.closing = true
+	next, version, open := k.holder.Closing(newIdentifier())
+	if !open {
+		return nil
+	}
+	outcome, err := k.platform.Commit(ctx, membership.Write(next, version))
+	if k.health.note(err) != nil {
+		return errors.Wrap(err, "close the session")
+	}
+	k.holder.Confirm(next, outcome.Version, time.Now())
+	return nil
+}
--- /dev/null
+++ b/internal/grouping/view.go
@@ -0,0 +1,92 @@
+package grouping
+
+import (
+	"sort"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/membership"
+	"github.com/hibiscuspulley/hibiscuspulley/pkg/platform"
+)
+
+// View is one zone as the platform last showed it.
+type View struct {
+	Zone        string
+	Groups      map[string]GroupRow
+	Assignments map[string]AssignmentRow
+	Instances   map[string]platform.Instance
+	// Sessions holds the rows of all zones by entry.
+	Sessions map[string]membership.Row
+}
+
+// Usable decides whether an instance may join a group.
+type Usable func(instance string) bool
+
+// Domains returns the zone's fabric domains with the free instances that are
+// usable, for planning a group of the service.
+func (v View) Domains(service string, usable Usable) []Domain {
+	byName := make(map[string]*Domain)
+	for _, i := range v.engines() {
+		d := byName[i.FabricDomain]
+		if d == nil {
+			d = &Domain{Name: i.FabricDomain}
+			byName[i.FabricDomain] = d
+		}
+		if v.Assignments[i.Name].Free() && !i.Leaving && usable(i.Name) {
+			d.Free = append(d.Free, i)
+		}
+	}
+	for _, g := range v.Groups {
+		d := byName[g.Domain]
+		if d == nil {
+			continue
+		}
+		d.Groups++
+		if g.Service == service {
+			d.SameService++
+		}
+	}
+	return sortDomains(byName)
+}
+
+// engines returns the zone's model engine instances by name.
+func (v View) engines() []platform.Instance {
+	var engines []platform.Instance
+	for _, i := range v.Instances {
+		if i.Zone == v.Zone && i.Service == "" {
+			engines = append(engines, i)
+		}
+	}
+	sort.Slice(engines, func(a, b int) bool { return engines[a].Name < engines[b].Name })
+	return engines
+}
+
+func sortDomains(byName map[string]*Domain) []Domain {
+	domains := make([]Domain, 0, len(byName))
+	for _, d := range byName {
+		domains = append(domains, *d)
+	}
+	sort.Slice(domains, func(i, j int) bool { return domains[i].Name < domains[j].Name })
+	return domains
+}
+
+// Claimable reports whether the group's owner can no longer act: its session
+// ended, or a later session of the same entry began, which opens only once
+// the earlier one has ended.
+func (v View) Claimable(g Group) bool {
+	session, found := v.Sessions[g.Owner.Entry]
+	if !found {
+		return true
+	}
+	return session.Epoch > g.Owner.Epoch || session.State != membership.Live
+}
+
+// LiveEntries returns the zone's entries with live sessions, by name.
+func (v View) LiveEntries() []string {
+	var entries []string
+	for name, session := range v.Sessions {
+		if session.Zone == v.Zone && session.State == membership.Live {
+			entries = append(entries, name)
+		}
+	}
+	sort.Strings(entries)
+	return entries
+}
--- /dev/null
+++ b/internal/membership/codec.go
@@ -0,0 +1,67 @@
+package membership
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"github.com/hibiscuspulley/hibiscuspulley/pkg/platform"
+)
+
+type sessionWire struct {
+	Entry       string `json:"entry"`
+	Zone        string `json:"zone"`
+	Address     string `json:"address"`
+	Incarnation string `json:"incarnation"`
+	Epoch       uint64 `json:"epoch"`
+	Counter     uint64 `json:"counter"`
+	State       string `json:"state"`
+	Attempt     string `json:"attempt"`
+}
+
+// Encode returns the session as a table row's value.
+func Encode(s Session) []byte {
+	encoded, err := json.Marshal(sessionWire{
+		Entry:       s.Entry,
+		Zone:        s.Zone,
+		Address:     s.Address,
+		Incarnation: s.Incarnation,
+		Epoch:       s.Epoch,
+		Counter:     s.Counter,
+		State:       string(s.State),
+		Attempt:     s.Attempt,
+	})
+	if err != nil {
+		panic(err) // plain data always encodes
+	}
+	return encoded
+}
+
+// Decode reads a session from a table row.
+func Decode(row platform.Row) (Row, error) {
+	var w sessionWire
+	if err := json.Unmarshal(row.Value, &w); err != nil {
+		return Row{}, errors.Wrapf(err, "decode the session row %s", row.Key)
+	}
+	s := Session{
+		Entry:       w.Entry,
+		Zone:        w.Zone,
+		Address:     w.Address,
+		Incarnation: w.Incarnation,
+		Epoch:       w.Epoch,
+		Counter:     w.Counter,
+		State:       State(w.State),
+		Attempt:     w.Attempt,
+	}
+	return Row{Session: s, Version: row.Version}, nil
+}
+
+// Write returns the transaction that replaces the session row, provided that
+// it still has the version.
+func Write(s Session, version int64) platform.Transaction {
+	key := Key(s.Zone, s.Entry)
+	return platform.Transaction{
+		Compares: []platform.Compare{{Key: key, Version: version}},
+		Puts:     []platform.Put{{Key: key, Value: Encode(s)}},
+	}
+}
--- /dev/null
+++ b/internal/membership/holder.go
@@ -0,0 +1,127 @@
+package membership
+
+import (
+	"sync"
+	"time"
+)
+
+// Timing holds the durations of the session protocol.
+type Timing struct {
+	// Renew is the time between two renewals.
+	Renew time.Duration
+	// Term is how long the holder may act after a renewal was sent.
+	Term time.Duration
+	// Grace is how much longer than Term a contender waits, for clocks that
+	// run at different speeds.
+	Grace time.Duration
+}
+
+// DefaultTiming returns the durations that entries use.
+func DefaultTiming() Timing {
+	return Timing{Renew: 2 * time.Second, Term: 6 * time.Second, Grace: time.Second}
+}
+
+// Holder is the holder's side of a session. It is safe for concurrent use.
+type Holder struct {
+	timing Timing
+
+	mu      sync.Mutex
+	session Session
+	version int64
+	open    bool
+	sentAt  time.Time
+}
+
+// NewHolder returns a Holder without a session. The identity's Entry, Zone,
+// Address and Incarnation describe this run of the process.
+func NewHolder(identity Session, timing Timing) *Holder {
+	return &Holder{session: identity, timing: timing}
+}
+
+// Open returns the row that opens a new session over the existing row, which
+// has version 0 if there is none. It returns false while the existing row
+// belongs to a live session: that one must lapse first.
+func (h *Holder) Open(existing Row, attempt string) (Session, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if existing.Version != 0 && existing.State == Live {
+		return Session{}, false
+	}
+	next := h.session
+	next.Epoch = existing.Epoch + 1
+	next.Counter = 1
+	next.State = Live
+	next.Attempt = attempt
+	return next, true
+}
+
+// Renewal returns the row that renews the session and the version that it
+// replaces, or false without a session.
+func (h *Holder) Renewal(attempt string) (Session, int64, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.open {
+		return Session{}, 0, false
+	}
+	next := h.session
+	next.Counter++
+	next.Attempt = attempt
+	return next, h.version, true
+}
+
+// Closing returns the row that closes the session and the version that it
+// replaces, or false without a session.
+func (h *Holder) Closing(attempt string) (Session, int64, bool) {
+	next, version, ok := h.Renewal(attempt)
+	next.State = Closed
+	return next, version, ok
+}
+
+// Confirm takes over that a row of this holder took effect. The term counts
+// from sentAt, the time before the write was sent.
+func (h *Holder) Confirm(s Session, version int64, sentAt time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.session = s
+	h.version = version
+	h.open = s.State == Live
+	if sentAt.After(h.sentAt) {
+		h.sentAt = sentAt
+	}
+}
+
+// Observe compares the row in the table with the holder's own. A row of this
+// holder that is newer than it knows comes from a write whose answer was
+// lost: its version is taken over, the term is not. Any other row means that
+// the session is lost. Observe reports whether the session still stands.
+func (h *Holder) Observe(row Row) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.open {
+		return false
+	}
+	own := row.Incarnation == h.session.Incarnation && row.Epoch == h.session.Epoch
+	if !own || row.State != Live {
+		h.open = false
+		return false
+	}
+	if row.Version > h.version {
+		h.version = row.Version
+		h.session.Counter = row.Counter
+	}
+	return true
+}
+
+// ValidFor reports whether the session's term covers the next d from now on.
+func (h *Holder) ValidFor(now time.Time, d time.Duration) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.open && now.Add(d).Before(h.sentAt.Add(h.timing.Term))
+}
+
+// Current returns the session as last confirmed, and whether it is open.
+func (h *Holder) Current() (Session, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.session, h.open
+}
--- /dev/null
+++ b/internal/peer/wire.go
@@ -0,0 +1,211 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/permit"
+)
+
+// Wire types. Integer keys keep the frames small; a number that has been used
+// keeps its meaning.
+
+type demandWire struct {
+	Group    string `cbor:"1,keyasint"`
+	Want     int    `cbor:"2,keyasint,omitempty"`
+	InFlight int    `cbor:"3,keyasint,omitempty"`
+	Applied  uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+type grantWire struct {
+	Group       string `cbor:"1,keyasint"`
+	Generation  uint64 `cbor:"2,keyasint"`
+	Leader      string `cbor:"3,keyasint"`
+	Seq         uint64 `cbor:"4,keyasint"`
+	Credits     int    `cbor:"5,keyasint,omitempty"`
+	RemainingMS int64  `cbor:"6,keyasint"`
+	Cold        bool   `cbor:"7,keyasint,omitempty"`
+}
+
+type usageWire struct {
+	Service      string `cbor:"1,keyasint"`
+	Organisation string `cbor:"2,keyasint"`
+	Tokens       int64  `cbor:"3,keyasint"`
+}
+
+type exchangeWire struct {
+	Entry    string       `cbor:"1,keyasint"`
+	Zone     string       `cbor:"2,keyasint"`
+	Revision uint64       `cbor:"3,keyasint"`
+	Demands  []demandWire `cbor:"4,keyasint,omitempty"`
+	Usage    []usageWire  `cbor:"5,keyasint,omitempty"`
+}
+
+type exchangeReplyWire struct {
+	Revision uint64      `cbor:"1,keyasint"`
+	Ready    bool        `cbor:"2,keyasint,omitempty"`
+	Grants   []grantWire `cbor:"3,keyasint,omitempty"`
+	Entry    string      `cbor:"4,keyasint"`
+	Zone     string      `cbor:"5,keyasint"`
+}
+
+type configPullWire struct {
+	After uint64 `cbor:"1,keyasint"`
+}
+
+type configReplyWire struct {
+	Revision uint64   `cbor:"1,keyasint"`
+	Snapshot bool     `cbor:"2,keyasint,omitempty"`
+	Changes  [][]byte `cbor:"3,keyasint,omitempty"`
+}
+
+type relayWire struct {
+	Key     string `cbor:"1,keyasint"`
+	Value   []byte `cbor:"2,keyasint"`
+	Version int64  `cbor:"3,keyasint"`
+}
+
+type relayReplyWire struct {
+	Reached   bool  `cbor:"1,keyasint,omitempty"`
+	Succeeded bool  `cbor:"2,keyasint,omitempty"`
+	Version   int64 `cbor:"3,keyasint,omitempty"`
+}
+
+type revocationWire struct {
+	Group      string `cbor:"1,keyasint"`
+	Generation uint64 `cbor:"2,keyasint"`
+	Abort      bool   `cbor:"3,keyasint,omitempty"`
+}
+
+// frameWire is one WebSocket message. A frame without ID is a push.
+type frameWire struct {
+	ID            uint64             `cbor:"1,keyasint,omitempty"`
+	Exchange      *exchangeWire      `cbor:"2,keyasint,omitempty"`
+	ExchangeReply *exchangeReplyWire `cbor:"3,keyasint,omitempty"`
+	ConfigPull    *configPullWire    `cbor:"4,keyasint,omitempty"`
+	ConfigReply   *configReplyWire   `cbor:"5,keyasint,omitempty"`
+	Relay         *relayWire         `cbor:"6,keyasint,omitempty"`
+	RelayReply    *relayReplyWire    `cbor:"7,keyasint,omitempty"`
+	Revocation    *revocationWire    `cbor:"8,keyasint,omitempty"`
+}
+
+func encodeFrame(f frameWire) ([]byte, error) {
+	encoded, err := cbor.Marshal(f)
+	return encoded, errors.Wrap(err, "encode a peer frame")
+}
+
+func decodeFrame(encoded []byte) (frameWire, error) {
+	var f frameWire
+	err := cbor.Unmarshal(encoded, &f)
+	return f, errors.Wrap(err, "decode a peer frame")
+}
+
+func requestToWire(r Request) frameWire {
+	var f frameWire
+	if r.Exchange != nil {
+		f.Exchange = exchangeToWire(*r.Exchange)
+	}
+	if r.ConfigPull != nil {
+		f.ConfigPull = &configPullWire{After: r.ConfigPull.After}
+	}
+	if r.Relay != nil {
+		f.Relay = &relayWire{Key: r.Relay.Key, Value: r.Relay.Value, Version: r.Relay.Version}
+	}
+	return f
+}
+
+func requestFromWire(f frameWire) Request {
+	var r Request
+	if f.Exchange != nil {
+		r.Exchange = exchangeFromWire(*f.Exchange)
+	}
+	if f.ConfigPull != nil {
+		r.ConfigPull = &ConfigPull{After: f.ConfigPull.After}
+	}
+	if f.Relay != nil {
+		r.Relay = &Relay{Key: f.Relay.Key, Value: f.Relay.Value, Version: f.Relay.Version}
+	}
+	return r
+}
+
+func replyToWire(r Reply) frameWire {
+	var f frameWire
+	if r.Exchange != nil {
+		f.ExchangeReply = exchangeReplyToWire(*r.Exchange)
+	}
+	if c := r.Config; c != nil {
+		f.ConfigReply = &configReplyWire{Revision: c.Revision, Snapshot: c.Snapshot, Changes: c.Changes}
+	}
+	if y := r.Relay; y != nil {
+		f.RelayReply = &relayReplyWire{Reached: y.Reached, Succeeded: y.Succeeded, Version: y.Version}
+	}
+	return f
+}
+
+func replyFromWire(f frameWire) Reply {
+	var r Reply
+	if f.ExchangeReply != nil {
+		r.Exchange = exchangeReplyFromWire(*f.ExchangeReply)
+	}
+	if c := f.ConfigReply; c != nil {
+		r.Config = &ConfigReply{Revision: c.Revision, Snapshot: c.Snapshot, Changes: c.Changes}
+	}
+	if y := f.RelayReply; y != nil {
+		r.Relay = &RelayReply{Reached: y.Reached, Succeeded: y.Succeeded, Version: y.Version}
+	}
+	return r
+}
+
+func exchangeToWire(e Exchange) *exchangeWire {
+	w := &exchangeWire{Entry: e.Entry, Zone: e.Zone, Revision: e.Revision}
+	for _, d := range e.Demands {
+		w.Demands = append(w.Demands, demandWire{
+			Group: d.Group, Want: d.Want, InFlight: d.InFlight, Applied: d.Applied,
+		})
+	}
+	for _, u := range e.Usage {
+		w.Usage = append(w.Usage, usageWire{
+			Service: u.Service, Organisation: u.Organisation, Tokens: u.Tokens,
+		})
+	}
+	return w
+}
+
+func exchangeFromWire(w exchangeWire) *Exchange {
+	e := &Exchange{Entry: w.Entry, Zone: w.Zone, Revision: w.Revision}
+	for _, d := range w.Demands {
+		e.Demands = append(e.Demands, permit.Demand{
+			Entry: w.Entry, Group: d.Group, Want: d.Want, InFlight: d.InFlight, Applied: d.Applied,
+		})
+	}
+	for _, u := range w.Usage {
+		e.Usage = append(e.Usage, Usage{
+			Service: u.Service, Organisation: u.Organisation, Tokens: u.Tokens,
+		})
+	}
+	return e
+}
+
+func exchangeReplyToWire(r ExchangeReply) *exchangeReplyWire {
+	w := &exchangeReplyWire{Entry: r.Entry, Zone: r.Zone, Revision: r.Revision, Ready: r.Ready}
+	for _, g := range r.Grants {
+		w.Grants = append(w.Grants, grantWire{
+			Group: g.Group, Generation: g.Generation, Leader: g.Leader, Seq: g.Seq,
+			Credits: g.Credits, RemainingMS: g.Remaining.Milliseconds(), Cold: g.Cold,
+		})
+	}
+	return w
+}
+
+func exchangeReplyFromWire(w exchangeReplyWire) *ExchangeReply {
+	r := &ExchangeReply{Entry: w.Entry, Zone: w.Zone, Revision: w.Revision, Ready: w.Ready}
+	for _, g := range w.Grants {
+		r.Grants = append(r.Grants, permit.Grant{
+			Group: g.Group, Generation: g.Generation, Leader: g.Leader, Seq: g.Seq,
+			Credits: g.Credits, Remaining: time.Duration(g.RemainingMS) * time.Millisecond, Cold: g.Cold,
+		})
+	}
+	return r
+}
--- /dev/null
+++ b/internal/retry/doc.go
@@ -0,0 +1,2 @@
+// Package retry decides whether a failed request may be tried again.
+package retry
--- /dev/null
+++ b/internal/routing/doc.go
@@ -0,0 +1,2 @@
+// Package routing decides which replica group an attempt goes to.
+package routing
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -43,8 +43,9 @@
 
 // Engine stands in for one model engine.
 type Engine struct {
-	// MemberMissing reports whether the member at an address can't serve.
-	MemberMissing func(address string) bool
+	// MemberMissing reports whether the member at an address can't serve the
+	// group. It is called without the engine's lock.
+	MemberMissing func(address, group string, generation uint64) bool
 
 	speed  EngineSpeed
 	fences bool
@@ -69,7 +70,7 @@
 // NewEngine returns an idle engine. With fences it refuses stale orders.
 func NewEngine(speed EngineSpeed, fences bool) *Engine {
 	e := &Engine{
-		MemberMissing: func(string) bool { return false },
+		MemberMissing: func(string, string, uint64) bool { return false },
 		speed:         speed,
 		fences:        fences,
 		streams:       make(map[string]*engineStream),
@@ -170,13 +171,6 @@
 	return e.counts
 }
 
-// Group returns the group and generation of the engine's last order.
-func (e *Engine) Group() (group string, generation uint64) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.order.Group, e.order.Generation
-}
-
 func (e *Engine) state(now time.Time) string {
 	switch {
 	case e.order.Group == "":
@@ -190,32 +184,32 @@
 	}
 }
 
-// incomplete reports whether a member has been missing for the grace time.
-func (e *Engine) incomplete(now time.Time) (missing, known bool) {
+// Watch looks whether members are missing and notes since when. It returns
+// whether one is missing now.
+func (e *Engine) Watch() bool {
+	e.mu.Lock()
 	order := e.order
-	for rank, address := range order.Members {
-		if rank == order.Rank {
-			continue
-		}
-		if e.MemberMissing(address) {
-			missing = true
-		}
-	}
-	if !missing {
+	e.mu.Unlock()
+	missing := e.anyMissing(order)
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case !missing:
 		e.missingAt = time.Time{}
-		return false, false
-	}
-	if e.missingAt.IsZero() {
+	case e.missingAt.IsZero():
 		e.missingAt = now
 	}
-	return true, now.Sub(e.missingAt) > graceTime
+	return missing
 }
 
-// Watch notes when members go missing. The owner calls it regularly.
-func (e *Engine) Watch() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.incomplete(time.Now())
+func (e *Engine) anyMissing(order engineOrderWire) bool {
+	for rank, address := range order.Members {
+		if rank != order.Rank && e.MemberMissing(address, order.Group, order.Generation) {
+			return true
+		}
+	}
+	return false
 }
 
 func (e *Engine) serveHealth(w http.ResponseWriter, _ *http.Request) {
@@ -301,7 +295,7 @@
 // count notes a request that the promises forbid.
 func (e *Engine) count(now time.Time) {
 	e.counts.Requests++
-	if _, known := e.incomplete(now); known {
+	if !e.missingAt.IsZero() && now.Sub(e.missingAt) > graceTime {
 		e.counts.SentToIncompleteGroup++
 	}
 	if !e.zoneOutAt.IsZero() && now.Sub(e.zoneOutAt) > zoneGraceTime {
--- a/internal/standin/engine_generate.go
+++ b/internal/standin/engine_generate.go
@@ -31,6 +31,7 @@
 }
 
 func (e *Engine) accept(r *http.Request, id string, request generateWire) (*engineStream, string) {
+	e.Watch()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
@@ -122,17 +123,13 @@
 
 // pace returns the time to the next token, and whether none can come now.
 func (e *Engine) pace() (interval time.Duration, blocked bool) {
+	missing := e.Watch()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	interval = e.speed.TokenInterval * time.Duration(max(e.faults.Slow, 1))
-	if e.faults.Paused {
+	if e.faults.Paused || missing {
 		return pausePollInterval, true
 	}
-	missing, _ := e.incomplete(time.Now())
-	if missing {
-		return pausePollInterval, true
-	}
-	return interval, false
+	return e.speed.TokenInterval * time.Duration(max(e.faults.Slow, 1)), false
 }
 
 // deliver writes the answer's events from number next on.
--- /dev/null
+++ b/internal/standin/network.go
@@ -0,0 +1,168 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// zonePair names the two ends of a connection, in either order.
+type zonePair struct {
+	from string
+	to   string
+}
+
+// Network connects processes in zones and can cut zones off from each other.
+type Network struct {
+	listen func(address string) (net.Listener, error)
+	dial   func(ctx context.Context, address string) (net.Conn, error)
+
+	mu    sync.Mutex
+	zones map[string]string
+	cut   map[zonePair]bool
+	conns map[*silentConn]struct{}
+}
+
+// NewLoopback returns a Network over TCP on the loopback address.
+func NewLoopback() *Network {
+	var dialer net.Dialer
+	return newNetwork(
+		func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
+		func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		})
+}
+
+// NewMemory returns a Network within the process, for virtual time.
+func NewMemory() *Network {
+	m := &memory{listeners: make(map[string]*memoryListener)}
+	return newNetwork(m.listen, m.dial)
+}
+
+func newNetwork(listen func(string) (net.Listener, error), dial func(context.Context, string) (net.Conn, error)) *Network {
+	return &Network{
+		listen: listen, dial: dial,
+		zones: make(map[string]string), cut: make(map[zonePair]bool),
+		conns: make(map[*silentConn]struct{}),
+	}
+}
+
+// Listener returns a listen function for processes of the zone.
+func (n *Network) Listener(zone string) func(network, address string) (net.Listener, error) {
+	return func(_, address string) (net.Listener, error) {
+		l, err := n.listen(address)
+		if err != nil {
+			return nil, err
+		}
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.zones[l.Addr().String()] = zone
+		return l, nil
+	}
+}
+
+// Dialer returns a dial function for processes of the zone.
+func (n *Network) Dialer(zone string) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		to := n.zoneOf(address)
+		if n.isCut(zone, to) {
+			<-ctx.Done()
+			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: ctx.Err()}
+		}
+		conn, err := n.dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return n.track(conn, zone, to), nil
+	}
+}
+
+func (n *Network) zoneOf(address string) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.zones[address]
+}
+
+func (n *Network) isCut(a, b string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut[zonePair{a, b}]
+}
+
+func (n *Network) track(conn net.Conn, from, to string) net.Conn {
+	c := &silentConn{Conn: conn, network: n, ends: zonePair{from, to}}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.conns[c] = struct{}{}
+	return c
+}
+
+// Cut separates two zones: open connections go silent for good, new ones
+// can't be opened.
+func (n *Network) Cut(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[zonePair{a, b}] = true
+	n.cut[zonePair{b, a}] = true
+	for c := range n.conns {
+		if n.cut[c.ends] {
+			c.silent.Store(true)
+		}
+	}
+}
+
+// Heal lets two zones open connections to each other again.
+func (n *Network) Heal(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.cut, zonePair{a, b})
+	delete(n.cut, zonePair{b, a})
+}
+
+// Silence makes all open connections to an address silent for good; new ones
+// work.
+func (n *Network) Silence(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		if c.RemoteAddr().String() == address {
+			c.silent.Store(true)
+		}
+	}
+}
+
+// silentConn is a connection that can go silent: what it sends is lost, and
+// nothing arrives any more.
+type silentConn struct {
+	net.Conn
+	network *Network
+	ends    zonePair
+	silent  atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *silentConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil || !c.silent.Load() {
+			return n, err
+		}
+	}
+}
+
+// Write implements net.Conn.
+func (c *silentConn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Close implements net.Conn.
+func (c *silentConn) Close() error {
+	c.network.mu.Lock()
+	delete(c.network.conns, c)
+	c.network.mu.Unlock()
+	return c.Conn.Close()
+}
--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/dghubble/sling"
@@ -18,6 +20,8 @@
 const (
 	// DefaultDialTimeout bounds the opening of a connection.
 	DefaultDialTimeout = time.Second
+	// DefaultFirstTimeout bounds the time to the first event of a stream.
+	DefaultFirstTimeout = 10 * time.Second
 	// DefaultIdleTimeout bounds the silence between two events of a stream.
 	DefaultIdleTimeout = 3 * time.Second
 
@@ -28,9 +32,10 @@
 
 // Client reaches engines by their addresses. It is safe for concurrent use.
 type Client struct {
-	idleTimeout time.Duration
-	transport   *http.Transport
-	httpClient  *http.Client
+	firstTimeout time.Duration
+	idleTimeout  time.Duration
+	transport    *http.Transport
+	httpClient   *http.Client
 }
 
 // Option changes a Client under construction.
@@ -46,11 +51,17 @@
 	return func(c *Client) { c.idleTimeout = d }
 }
 
+// WithTLS sets the TLS configuration for addresses that begin with https://.
+func WithTLS(cfg *tls.Config) Option {
+	return func(c *Client) { c.transport.TLSClientConfig = cfg }
+}
+
 // NewClient returns a Client.
 func NewClient(opts ...Option) *Client {
 	dialer := &net.Dialer{Timeout: DefaultDialTimeout}
 	c := &Client{
-		idleTimeout: DefaultIdleTimeout,
+		firstTimeout: DefaultFirstTimeout,
+		idleTimeout:  DefaultIdleTimeout,
 		transport: &http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: maxIdlePerHost,
@@ -75,7 +86,7 @@
 // when the engine may have run the request.
 func (c *Client) Generate(ctx context.Context, address string, r Request) (*Stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	watchdog := time.AfterFunc(c.idleTimeout, cancel)
+	watchdog := time.AfterFunc(c.firstTimeout, cancel)
 	reply, err := c.send(ctx, address, r)
 	if err != nil {
 		watchdog.Stop()
@@ -98,7 +109,7 @@
 }
 
 func (c *Client) send(ctx context.Context, address string, r Request) (*http.Response, error) {
-	url := "http://" + address + r.Path
+	url := baseURL(address) + r.Path
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(r.Body))
 	if err != nil {
 		return nil, errors.Wrap(ErrNotReached, err.Error())
@@ -123,7 +134,7 @@
 
 // Cancel tells the engine to stop an attempt. An unknown one is no error.
 func (c *Client) Cancel(ctx context.Context, address, requestID string) error {
-	path := "http://" + address + "/v1/responses/" + requestID + "/cancel"
+	path := baseURL(address) + "/v1/responses/" + requestID + "/cancel"
 	_, err := c.call(ctx, sling.New().Post(path), nil)
 	return err
 }
@@ -131,7 +142,7 @@
 // Probe reads the engine's health.
 func (c *Client) Probe(ctx context.Context, address string) (Health, error) {
 	var w healthWire
-	status, err := c.call(ctx, sling.New().Get("http://"+address+"/health"), &w)
+	status, err := c.call(ctx, sling.New().Get(baseURL(address)+"/health"), &w)
 	if err != nil {
 		return Health{}, err
 	}
@@ -144,7 +155,7 @@
 // Give sends an order. It fails with ErrStaleGeneration when the engine
 // refused the order's fencing token.
 func (c *Client) Give(ctx context.Context, address string, order Order) error {
-	request := sling.New().Put("http://" + address + "/role").BodyJSON(encodeOrder(order))
+	request := sling.New().Put(baseURL(address) + "/role").BodyJSON(encodeOrder(order))
 	status, err := c.call(ctx, request, nil)
 	switch {
 	case err != nil:
@@ -178,6 +189,14 @@
 	}
 }
 
+// baseURL returns the URL of an address, which is HOST:PORT or a URL.
+func baseURL(address string) string {
+	if strings.Contains(address, "://") {
+		return address
+	}
+	return "http://" + address
+}
+
 // IsDialError reports whether err means that no connection was opened, so
 // that no byte can have reached the other end.
 func IsDialError(err error) bool {
--- a/pkg/engine/request.go
+++ b/pkg/engine/request.go
@@ -31,11 +31,16 @@
 	Generation uint64
 	// Priority orders requests in the engine; lower goes first.
 	Priority int
+	// Header holds further headers to send.
+	Header http.Header
 	// ResumeAfter resumes behind this event number; nil starts anew.
 	ResumeAfter *int
 }
 
 func (r Request) setHeaders(header http.Header) {
+	for name, values := range r.Header {
+		header[name] = values
+	}
 	header.Set("Content-Type", "application/json")
 	header.Set("Accept", "text/event-stream")
 	header.Set(RequestIDHeader, r.ID)
--- a/pkg/engine/stream.go
+++ b/pkg/engine/stream.go
@@ -24,6 +24,9 @@
 	idle     time.Duration
 	prefix   []byte
 	next     int
+	// started says that the first event was asked for; until it comes, the
+	// longer timeout to the first event counts.
+	started bool
 }
 
 // Next returns the data of the next event. It returns io.EOF after the end
@@ -31,7 +34,10 @@
 // for an event of another request or out of order. The slice is valid until
 // the next call.
 func (s *Stream) Next() ([]byte, error) {
-	s.watchdog.Reset(s.idle)
+	if s.started {
+		s.watchdog.Reset(s.idle)
+	}
+	s.started = true
 	event, err := s.reader.Read()
 	if err != nil {
 		return nil, errors.Wrap(ErrTruncated, err.Error())
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -75,6 +75,12 @@
 	return c.readRange(ctx, rangeRequestWire{Key: []byte(prefix), RangeEnd: prefixEnd(prefix)})
 }
 
+// Between returns the rows whose keys are at least start and below end.
+// It fails with ErrUnavailable when the platform does not answer.
+func (c *Client) Between(ctx context.Context, start, end string) ([]Row, error) {
+	return c.readRange(ctx, rangeRequestWire{Key: []byte(start), RangeEnd: []byte(end)})
+}
+
 // Get returns the row at key, and whether it exists.
 // It fails with ErrUnavailable when the platform does not answer.
 func (c *Client) Get(ctx context.Context, key string) (Row, bool, error) {
