Resume elsewhere when a replica forgot an answer; let go of slow bodies

Cause, found by two new tests: (1) a resume that the engine answers with 404 was taken for a refusal of the request, so the answer was cut; (2) after a body that did not come in time, the read deadline was lifted, and net/http waited for the rest of the body before it sent the refusal: the connection hung for good. Change: any failed resume continues elsewhere; the deadline stays and the connection closes.

--- a/internal/entry/caller_api.go
+++ b/internal/entry/caller_api.go
@@ -234,11 +234,13 @@
 func (a *callerAPI) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *caller.Error) {
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(a.limits.BodyTimeout))
-	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(a.limits.BodyBytes)))
 	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
 		return body, nil
 	}
+	// The deadline stays, so that the server does not wait for the rest.
+	w.Header().Set("Connection", "close")
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, &caller.Error{
--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -152,8 +152,7 @@
 	served := g.tokens
 	last, err := g.relay(ctx, t, request)
 	if errors.Is(err, engine.ErrTruncated) && ctx.Err() == nil && last >= 0 {
-		request.ResumeAfter = &last
-		_, err = g.relay(ctx, t, request)
+		err = g.resume(ctx, t, request, last)
 	}
 	g.router.served(g.need, g.tokens-served)
 	if err == nil || errors.Is(err, engine.ErrNotReached) {
@@ -164,6 +163,18 @@
 	return err
 }
 
+// resume continues a broken stream at the same replica, behind the last event.
+// Whatever goes wrong then, the answer is continued elsewhere.
+func (g *generation) resume(ctx context.Context, t target, request engine.Request, last int) error {
+	request.ResumeAfter = &last
+	_, err := g.relay(ctx, t, request)
+	var status *engine.StatusError
+	if errors.As(err, &status) {
+		return errors.Wrap(engine.ErrTruncated, err.Error())
+	}
+	return err
+}
+
 // release gives the target's credit back.
 func (g *generation) release(t target) {
 	t.release()
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -1,9 +1,7 @@
 package fleet_test
 
 import (
-	"bufio"
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -14,32 +12,240 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hibiscuspulley/hibiscuspulley/internal/fleet"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/load"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/standin"
+	"github.com/hibiscuspulley/hibiscuspulley/pkg/caller"
+	"github.com/hibiscuspulley/hibiscuspulley/pkg/operator"
 )
 
-func TestWholePathInVirtualTime(t *testing.T) {
+// settleTime lets what still ends in the background, such as connections of
+// net/http, do so before the bubble closes.
+const settleTime = 10 * time.Second
+
+// inFleet runs a test in virtual time against a fleet whose groups are open.
+func inFleet(t *testing.T, plan fleet.Plan, test func(ctx context.Context, t *testing.T, f *fleet.Fleet)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Minute)
 		defer cancel()
-		f, err := fleet.Start(ctx, fleet.DefaultPlan(), standin.NewMemory(), t.Output())
+		f, err := fleet.Start(ctx, plan, standin.NewMemory(), t.Output())
 		require.NoError(t, err)
-		defer f.Close()
+		defer func() {
+			f.Close()
+			time.Sleep(settleTime)
+		}()
 		require.NoError(t, f.WaitComplete(ctx))
-		client := f.Client("a")
-		defer client.CloseIdleConnections()
-		m := f.Entries()[0]
-		body := `{"model":"yard-notes","stream":true,"max_tokens":5,"messages":[{"role":"user","content":"hi"}]}`
-		r, err := http.NewRequestWithContext(ctx, "POST", "http://"+m.CallerAddress+"/v1/chat/completions", strings.NewReader(body))
-		require.NoError(t, err)
-		r.Header.Set("Authorization", "Bearer "+fleet.Key(0))
-		reply, err := client.Do(r)
-		require.NoError(t, err)
-		defer reply.Body.Close()
-		text, err := io.ReadAll(bufio.NewReader(reply.Body))
-		require.NoError(t, err)
-		fmt.Println(string(text))
-		require.Equal(t, 200, reply.StatusCode, string(text))
-		require.Equal(t, "ran", reply.Header.Get("hibiscuspulley-run"))
-		require.Contains(t, string(text), "[DONE]")
+		test(ctx, t, f)
+	})
+}
+
+// oneZone is a small fleet: two entries, two groups of two in one zone.
+func oneZone() fleet.Plan {
+	plan := fleet.DefaultPlan()
+	plan.Zones = []string{"a"}
+	plan.GroupsPerZone = 2
+	plan.GroupSize = 2
+	plan.InstancesPerDomain = 3
+	plan.LogLevel = "error"
+	return plan
+}
+
+// generate asks an entry for an answer and returns it.
+func generate(ctx context.Context, f *fleet.Fleet, m *fleet.Member, prompt string, tokens int) load.Answer {
+	client := f.Client(m.Zone)
+	defer client.CloseIdleConnections()
+	return load.NewCaller(client, fleet.Key(0)).Generate(ctx, "http://"+m.CallerAddress, load.Request{
+		Model: fleet.ModelName, Prompt: prompt, MaxTokens: tokens,
+	})
+}
+
+// requireWhole requires that the answer is whole and has exactly its text.
+func requireWhole(t *testing.T, a load.Answer, prompt string, tokens int) {
+	t.Helper()
+	require.NoError(t, a.Err)
+	require.True(t, a.Whole)
+	require.Equal(t, caller.Ran, a.Run)
+	require.Equal(t, standin.ExpectedAnswer(prompt, tokens), a.Text)
+}
+
+func TestAnswersAreWholeAtEveryEntry(t *testing.T) {
+	plan := fleet.DefaultPlan()
+	plan.LogLevel = "error"
+	inFleet(t, plan, func(ctx context.Context, t *testing.T, f *fleet.Fleet) {
+		for _, m := range f.Entries() {
+			requireWhole(t, generate(ctx, f, m, "hello", 20), "hello", 20)
+		}
+	})
+}
+
+func TestAnAnswerIsResumedWithoutLossOrRepetition(t *testing.T) {
+	for name, faults := range map[string]standin.EngineFaults{
+		"a broken connection":                  {CutAfter: 7},
+		"a broken connection, and forgotten":   {CutAfter: 7, Forget: true},
+		"events of another answer":             {CrossAnswers: true},
+		"a broken connection before the first": {CutAfter: 1, Forget: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inFleet(t, oneZone(), func(ctx context.Context, t *testing.T, f *fleet.Fleet) {
+				faulty := 0
+				for _, i := range f.Engines() {
+					if i.Engine.Rank() == 0 && faulty == 0 {
+						i.Engine.SetFaults(faults)
+						faulty++
+					}
+				}
+				for _, m := range f.Entries() {
+					requireWhole(t, generate(ctx, f, m, "note", 20), "note", 20)
+					requireWhole(t, generate(ctx, f, m, "note", 20), "note", 20)
+				}
+			})
+		})
+	}
+}
+
+// post sends a body to an entry's caller listener.
+func post(ctx context.Context, t *testing.T, f *fleet.Fleet, path, key, body string) (*http.Response, string) {
+	t.Helper()
+	m := f.Entries()[0]
+	client := f.Client(m.Zone)
+	defer client.CloseIdleConnections()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+m.CallerAddress+path, strings.NewReader(body))
+	require.NoError(t, err)
+	r.Header.Set("Authorization", "Bearer "+key)
+	reply, err := client.Do(r)
+	require.NoError(t, err)
+	defer reply.Body.Close()
+	text, err := io.ReadAll(reply.Body)
+	require.NoError(t, err)
+	return reply, string(text)
+}
+
+func TestRefusalsAreClearAndTrue(t *testing.T) {
+	const chat = "/v1/chat/completions"
+	good := `{"model":"yard-notes","messages":[{"role":"user","content":"x"}]}`
+	plan := oneZone()
+	plan.Limits.BodyBytes = 1000
+	inFleet(t, plan, func(ctx context.Context, t *testing.T, f *fleet.Fleet) {
+		before := f.Counts().Requests
+		for name, test := range map[string]struct {
+			path, key, body string
+			status          int
+			code            string
+		}{
+			"garbage":         {chat, fleet.Key(0), "}{", 400, "invalid-json"},
+			"an empty body":   {chat, fleet.Key(0), "", 400, "invalid-json"},
+			"a wrong type":    {chat, fleet.Key(0), `{"model":7}`, 400, "invalid-field"},
+			"no messages":     {chat, fleet.Key(0), `{"model":"yard-notes"}`, 400, "missing-messages"},
+			"no prompt":       {"/v1/completions", fleet.Key(0), `{"model":"yard-notes"}`, 400, "missing-prompt"},
+			"no model":        {chat, fleet.Key(0), `{"messages":[{}]}`, 400, "missing-model"},
+			"two variants":    {chat, fleet.Key(0), `{"n":2,` + good[1:], 400, "unsupported-n"},
+			"unknown model":   {chat, fleet.Key(0), strings.Replace(good, "yard-notes", "nothing", 1), 404, "model_not_found"},
+			"a plain service": {chat, fleet.Key(0), strings.Replace(good, "yard-notes", "docking", 1), 404, "model_not_found"},
+			"a wrong key":     {chat, "wrong", good, 401, "invalid-key"},
+			"too large":       {chat, fleet.Key(0), strings.Repeat(" ", 1001), 413, "body-too-large"},
+			"unknown service": {"/services/nothing/x", fleet.Key(0), "{}", 404, "unknown-service"},
+			"unknown path":    {"/v2/else", fleet.Key(0), "{}", 404, "unknown-path"},
+		} {
+			reply, text := post(ctx, t, f, test.path, test.key, test.body)
+			require.Equal(t, test.status, reply.StatusCode, name)
+			require.Equal(t, string(caller.NotRun), reply.Header.Get(caller.RunHeader), name)
+			require.Contains(t, text, `"code":"`+test.code+`"`, name)
+		}
+		require.Equal(t, before, f.Counts().Requests, "a refused request reached an engine")
+	})
+}
+
+func TestSlowAndHalfClosedCallersAreRefused(t *testing.T) {
+	plan := oneZone()
+	plan.Limits.BodyTimeout = 2 * time.Second
+	plan.Limits.HeaderTimeout = 2 * time.Second
+	inFleet(t, plan, func(ctx context.Context, t *testing.T, f *fleet.Fleet) {
+		dial := f.Network.Dialer("a")
+		head := "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + fleet.Key(0) + "\r\nContent-Length: 100\r\n\r\n{\"mo"
+		conn, err := dial(ctx, "tcp", f.Entries()[0].CallerAddress)
+		require.NoError(t, err)
+		_, err = conn.Write([]byte(head))
+		require.NoError(t, err)
+		reply, err := io.ReadAll(conn)
+		require.NoError(t, err)
+		require.Contains(t, string(reply), "408 Request Timeout")
+		require.Contains(t, string(reply), "Hibiscuspulley-Run: not-run")
+		require.NoError(t, conn.Close())
+		silent, err := dial(ctx, "tcp", f.Entries()[0].CallerAddress)
+		require.NoError(t, err)
+		_, err = silent.Write([]byte("POST /v1/chat"))
+		require.NoError(t, err)
+		_, err = io.ReadAll(silent)
+		require.NoError(t, err, "the entry closes a connection whose head does not come")
+		require.NoError(t, silent.Close())
+	})
+}
+
+func TestACallerThatLeavesFreesTheEngine(t *testing.T) {
+	inFleet(t, oneZone(), func(ctx context.Context, t *testing.T, f *fleet.Fleet) {
+		callCtx, leave := context.WithTimeout(ctx, 200*time.Millisecond)
+		defer leave()
+		answer := generate(callCtx, f, f.Entries()[0], "long", 10_000)
+		require.False(t, answer.Whole)
+		time.Sleep(2 * time.Second)
+		for _, i := range f.Engines() {
+			require.Zero(t, i.Engine.Running())
+		}
+	})
+}
+
+func TestACallWithoutRepetitionRunsOnce(t *testing.T) {
+	for name, faults := range map[string]standin.ServiceFaults{
+		"no fault":       {},
+		"lost answers":   {LoseAnswers: true},
+		"refuse not-run": {RefuseNotRun: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inFleet(t, oneZone(), func(ctx context.Context, t *testing.T, f *fleet.Fleet) {
+				for _, i := range f.Instances() {
+					if i.Service != nil {
+						i.Service.SetFaults(faults)
+					}
+				}
+				m := f.Entries()[0]
+				client := f.Client("a")
+				defer client.CloseIdleConnections()
+				answer := load.NewCaller(client, fleet.Key(0)).Record(ctx, "http://"+m.CallerAddress, fleet.ServiceName, standin.RecordHeader, "r1")
+				ran := f.Records.Count("r1")
+				switch name {
+				case "no fault":
+					require.Equal(t, caller.Ran, answer.Run)
+					require.Equal(t, 1, ran)
+				case "lost answers":
+					require.Equal(t, caller.MayHaveRun, answer.Run)
+					require.Equal(t, 1, ran)
+				default:
+					require.Equal(t, caller.NotRun, answer.Run)
+					require.Equal(t, 0, ran)
+				}
+			})
+		})
+	}
+}
+
+func TestARacingOperatorIsToldWhatChanged(t *testing.T) {
+	inFleet(t, oneZone(), func(ctx context.Context, t *testing.T, f *fleet.Fleet) {
+		first, second := f.Operator(f.Entries()[0]), f.Operator(f.Entries()[1])
+		read, err := first.Configuration(ctx)
+		require.NoError(t, err)
+		change := operator.Change{
+			Base: read.Revision, Author: "ann", Reason: "power work", Kind: operator.KindZone, Name: "z",
+			Zone: &operator.Zone{Name: "z", Out: true},
+		}
+		accepted, err := first.Apply(ctx, change)
+		require.NoError(t, err)
+		require.Equal(t, read.Revision+1, accepted.Revision)
+		change.Author = "ben"
+		_, err = second.Apply(ctx, change)
+		var problem *operator.Problem
+		require.ErrorAs(t, err, &problem)
+		require.Equal(t, http.StatusConflict, problem.Status)
+		require.Equal(t, "ann", problem.Conflict.Author)
+		require.Equal(t, accepted.Revision, problem.Conflict.Revision)
 	})
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -326,3 +326,10 @@
 	}
 	return e.order.Rank
 }
+
+// Running returns how many answers the engine works on.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running
+}
