--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -222,7 +222,9 @@
 		pull: e.configure.takePull, granted: e.router.pump,
 		links: make(map[string]*peerState),
 	}
-	e.exchange = peer.NewServer(peerKey, e.answerPeer)
+	e.exchange = peer.NewServer(peerKey, e.answerPeer, func(address string) {
+		event.PeerRefused.Log(e.logger, logrus.Fields{"address": address})
+	})
 }
 
 // peerTLS returns the TLS settings towards peers. The peer key, which both
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -54,6 +54,8 @@
 	asked    time.Time
 	complete bool
 	blocked  bool
+	// superseded says that a newer generation was seen.
+	superseded bool
 	// failure is the error of the last probe that failed.
 	failure  error
 	downtime time.Duration
@@ -152,6 +154,8 @@
 	blocked := w.blockedBy(group, verdict)
 	lost := w.complete && !verdict.Complete
 	found := !w.complete && verdict.Complete
+	superseded := !w.superseded && verdict.Superseded
+	w.superseded = verdict.Superseded
 	stopped := !w.blocked && blocked
 	if !w.complete && !w.checked.IsZero() {
 		w.downtime += now.Sub(w.checked)
@@ -162,6 +166,9 @@
 	failure := w.failure
 	w.mu.Unlock()
 	fields := logrus.Fields{"group": group.Name, "generation": group.Generation}
+	if superseded {
+		event.GroupSuperseded.Log(w.logger, fields)
+	}
 	switch {
 	case lost:
 		fields["last-failure"] = failure
@@ -207,11 +214,13 @@
 }
 
 func (w *watch) order(ctx context.Context, g grouping.Group, rank int) {
+	// The deadline counts from before the check, so that an order which a pause
+	// holds up behind the check is not sent after the session has ended.
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
 	if !w.owns(g, orderTimeout) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
 	err := w.engines.Give(ctx, g.Members[rank].Address, engine.Order{
 		Group: g.Name, Generation: g.Generation, Rank: rank,
 		Members: g.Addresses(), Model: g.Model,
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -27,8 +27,10 @@
 type Server struct {
 	key     string
 	handler Handler
-	ctx     context.Context
-	cancel  context.CancelFunc
+	// onRefuse learns of a peer with a wrong key.
+	onRefuse func(address string)
+	ctx      context.Context
+	cancel   context.CancelFunc
 
 	mu    sync.Mutex
 	conns map[string]map[*serverConn]struct{}
@@ -41,11 +43,12 @@
 	mu sync.Mutex
 }
 
-// NewServer returns a Server that admits holders of the key.
-func NewServer(key string, handler Handler) *Server {
+// NewServer returns a Server that admits holders of the key. Others are told to
+// onRefuse.
+func NewServer(key string, handler Handler, onRefuse func(address string)) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Server{
-		key: key, handler: handler, ctx: ctx, cancel: cancel,
+		key: key, handler: handler, onRefuse: onRefuse, ctx: ctx, cancel: cancel,
 		conns: make(map[string]map[*serverConn]struct{}),
 	}
 }
@@ -59,6 +62,7 @@
 // ServeHTTP accepts one peer's connection and serves it until it ends.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !Authorized(r, s.key) {
+		s.onRefuse(r.RemoteAddr)
 		http.Error(w, "wrong peer key", http.StatusUnauthorized)
 		return
 	}
