--- a/internal/bench/plot.go
+++ b/internal/bench/plot.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	plotWidth  = 20 * vg.Centimeter
-	plotHeight = 12 * vg.Centimeter
+	plotWidth  = 8 * vg.Inch
+	plotHeight = 5 * vg.Inch
 )
 
 // Plot writes a file with the first token's p50 and p95 by second. The file's
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -434,6 +434,7 @@
 		sum.ColdLimitExceeded += c.ColdLimitExceeded
 		sum.SentToIncompleteGroup += c.SentToIncompleteGroup
 		sum.SentToZoneOut += c.SentToZoneOut
+		sum.SentToLeaving += c.SentToLeaving
 		sum.StaleOrders += c.StaleOrders
 		sum.TokensPrefilled += c.TokensPrefilled
 	}
--- /dev/null
+++ b/internal/membership/property_test.go
@@ -0,0 +1,145 @@
+package membership_test
+
+import (
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/membership"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/seeded"
+)
+
+func TestMain(m *testing.M) { os.Exit(seeded.Main(m, 2000)) }
+
+// table is one session row with compare-and-swap.
+type table struct{ row membership.Row }
+
+func (t *table) write(s membership.Session, version int64) (int64, bool) {
+	if t.row.Version != version {
+		return 0, false
+	}
+	t.row = membership.Row{Session: s, Version: version + 1}
+	return t.row.Version, true
+}
+
+// delayed is a renewal on its way to the table or back.
+type delayed struct {
+	session membership.Session
+	version int64
+	sentAt  time.Time
+}
+
+// TestPromiseOwnerActsOnlyInItsTerm: whatever is paused, delayed or lost, a
+// holder that finds its session valid has not been lapsed by a contender.
+func TestPromiseOwnerActsOnlyInItsTerm(t *testing.T) {
+	timing := membership.DefaultTiming()
+	rapid.Check(t, func(rt *rapid.T) {
+		// Steps are drawn evenly, which rapid's own ranges are not.
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 0))
+		now := time.Unix(0, 0)
+		rows := &table{}
+		holder := membership.NewHolder(membership.Session{Entry: "a", Incarnation: "1"}, timing)
+		watcher := membership.NewWatcher(timing)
+		first, ok := holder.Open(membership.Row{}, "0")
+		require.True(rt, ok)
+		version, _ := rows.write(first, 0)
+		holder.Confirm(first, version, now)
+		var writes, answers []delayed
+		for i := range 100 {
+			now = now.Add(time.Duration(rng.IntN(1500)) * time.Millisecond)
+			switch rng.IntN(9) {
+			case 0, 1: // a renewal is sent
+				if s, v, open := holder.Renewal(strconv.Itoa(i)); open {
+					writes = append(writes, delayed{s, v, now})
+				}
+			case 2, 3: // the oldest write arrives
+				if len(writes) > 0 {
+					w := writes[0]
+					writes = writes[1:]
+					if v, done := rows.write(w.session, w.version); done {
+						answers = append(answers, delayed{w.session, v, w.sentAt})
+					}
+				}
+			case 4: // the oldest answer arrives, or is lost
+				if len(answers) > 0 {
+					if rng.IntN(4) > 0 {
+						a := answers[0]
+						holder.Confirm(a.session, a.version, a.sentAt)
+					}
+					answers = answers[1:]
+				}
+			case 5: // the holder reads its row back
+				holder.Observe(rows.row)
+			default: // the contender reads, and lapses what is silent
+				watcher.Observe(now, []membership.Row{rows.row})
+				if watcher.Silent(rows.row) {
+					rows.write(membership.Lapse(rows.row, "l"), rows.row.Version)
+				}
+			}
+			if rows.row.State == membership.Lapsed {
+				require.False(rt, holder.ValidFor(now, 0), "the holder acts after its session was lapsed")
+			}
+		}
+	})
+}
+
+func TestAContenderWaitsAFullGracePeriodAfterAnOutage(t *testing.T) {
+	timing := membership.DefaultTiming()
+	watcher := membership.NewWatcher(timing)
+	row := membership.Row{Session: membership.Session{Entry: "a", Epoch: 1, Counter: 1, State: membership.Live}, Version: 1}
+	now := time.Unix(0, 0)
+	watcher.Observe(now, []membership.Row{row})
+	now = now.Add(10 * time.Minute) // the platform did not answer
+	watcher.Observe(now, []membership.Row{row})
+	require.False(t, watcher.Silent(row))
+	for range 7 {
+		require.False(t, watcher.Silent(row))
+		now = now.Add(time.Second)
+		watcher.Observe(now, []membership.Row{row})
+	}
+	require.True(t, watcher.Silent(row))
+}
+
+func TestASessionOpensOnlyOverOneThatHasEnded(t *testing.T) {
+	holder := membership.NewHolder(membership.Session{Entry: "a", Incarnation: "2"}, membership.DefaultTiming())
+	live := membership.Row{Session: membership.Session{Entry: "a", Epoch: 4, State: membership.Live}, Version: 9}
+	_, ok := holder.Open(live, "x")
+	require.False(t, ok)
+	live.State = membership.Lapsed
+	next, ok := holder.Open(live, "x")
+	require.True(t, ok)
+	require.Equal(t, uint64(5), next.Epoch)
+}
+
+func TestALostAnswerIsReadBackWithoutALongerTerm(t *testing.T) {
+	timing := membership.DefaultTiming()
+	holder := membership.NewHolder(membership.Session{Entry: "a", Incarnation: "1"}, timing)
+	start := time.Unix(0, 0)
+	first, _ := holder.Open(membership.Row{}, "0")
+	holder.Confirm(first, 1, start)
+	renewed, version, _ := holder.Renewal("1")
+	require.Equal(t, int64(1), version)
+	require.True(t, holder.Observe(membership.Row{Session: renewed, Version: 2}))
+	require.False(t, holder.ValidFor(start.Add(timing.Term), 0))
+	_, version, _ = holder.Renewal("2")
+	require.Equal(t, int64(2), version)
+}
+
+func TestALapsedSessionIsLost(t *testing.T) {
+	holder := membership.NewHolder(membership.Session{Entry: "a", Incarnation: "1"}, membership.DefaultTiming())
+	first, _ := holder.Open(membership.Row{}, "0")
+	holder.Confirm(first, 1, time.Unix(0, 0))
+	row := membership.Row{Session: first, Version: 1}
+	lapsed := membership.Row{Session: membership.Lapse(row, "l"), Version: 2}
+	require.False(t, holder.Observe(lapsed))
+	_, _, open := holder.Renewal("1")
+	require.False(t, open)
+	next, ok := holder.Open(lapsed, "2")
+	require.True(t, ok)
+	require.Equal(t, uint64(2), next.Epoch)
+}
--- a/internal/processfleet/fleet.go
+++ b/internal/processfleet/fleet.go
@@ -24,8 +24,9 @@
 	peerKey     = "peer-key-of-the-process-fleet"
 	// CallerKey is the bearer key of the fleet's one organisation.
 	CallerKey = "caller-key-of-the-process-fleet"
-	// Model and Service are the names of the fleet's services.
-	Model   = "yard-notes"
+	// Model is the name of the fleet's model service.
+	Model = "yard-notes"
+	// Service is the name of the fleet's plain service.
 	Service = "docking"
 )
 
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -60,6 +60,7 @@
 	coldKnown time.Time
 	missingAt time.Time
 	zoneOutAt time.Time
+	leavingAt time.Time
 	streams   map[string]*engineStream
 	running   int
 	waiting   []chan struct{}
@@ -123,6 +124,12 @@
 func (e *Engine) SetFaults(f EngineFaults) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if f.Leaving && !e.faults.Leaving {
+		e.leavingAt = time.Now()
+	}
+	if !f.Leaving {
+		e.leavingAt = time.Time{}
+	}
 	e.faults = f
 	if !f.Dead {
 		return
@@ -154,6 +161,16 @@
 	}
 }
 
+// SetLeaving tells the engine that operators or the platform take it away.
+func (e *Engine) SetLeaving(leaving bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leavingAt = time.Time{}
+	if leaving {
+		e.leavingAt = time.Now()
+	}
+}
+
 // Missing reports whether the engine can't take part in a group.
 func (e *Engine) Missing(group string, generation uint64) bool {
 	e.mu.Lock()
@@ -301,6 +318,9 @@
 	if !e.zoneOutAt.IsZero() && now.Sub(e.zoneOutAt) > zoneGraceTime {
 		e.counts.SentToZoneOut++
 	}
+	if !e.leavingAt.IsZero() && now.Sub(e.leavingAt) > zoneGraceTime {
+		e.counts.SentToLeaving++
+	}
 	over := e.running+len(e.waiting) >= e.speed.ColdLimit
 	if e.state(now) == "cold" && over && now.After(e.coldKnown) {
 		e.counts.ColdLimitExceeded++
--- a/internal/standin/engine_faults.go
+++ b/internal/standin/engine_faults.go
@@ -30,6 +30,9 @@
 	// SentToZoneOut counts requests that arrived while the zone had been out
 	// for longer than the grace time.
 	SentToZoneOut int64 `json:"sent-to-zone-out"`
+	// SentToLeaving counts requests that arrived while a member had been
+	// leaving for longer than the grace time.
+	SentToLeaving int64 `json:"sent-to-leaving"`
 	// StaleOrders counts orders with a lower generation than the last one.
 	StaleOrders int64 `json:"stale-orders"`
 	// TokensPrefilled counts prompt tokens that were not in the cache.
