--- /dev/null
+++ b/internal/grouping/property_test.go
@@ -0,0 +1,208 @@
+package grouping_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/grouping"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/seeded"
+	"github.com/hibiscuspulley/hibiscuspulley/pkg/engine"
+	"github.com/hibiscuspulley/hibiscuspulley/pkg/platform"
+)
+
+func TestMain(m *testing.M) { os.Exit(seeded.Main(m, 300)) }
+
+// rows is a table in memory.
+type rows struct {
+	version int64
+	byKey   map[string]platform.Row
+}
+
+func (r *rows) commit(txn platform.Transaction) bool {
+	for _, c := range txn.Compares {
+		if r.byKey[c.Key].Version != c.Version {
+			return false
+		}
+	}
+	r.version++
+	for _, p := range txn.Puts {
+		r.byKey[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Version: r.version}
+	}
+	for _, key := range txn.Deletes {
+		delete(r.byKey, key)
+	}
+	return true
+}
+
+func (r *rows) view(t require.TestingT, instances map[string]platform.Instance) grouping.View {
+	v := grouping.View{
+		Zone: "z", Instances: instances,
+		Groups: make(map[string]grouping.GroupRow), Assignments: make(map[string]grouping.AssignmentRow),
+	}
+	for key, row := range r.byKey {
+		if key[0] == 'g' {
+			g, err := grouping.DecodeGroup(row)
+			require.NoError(t, err)
+			v.Groups[g.Name] = g
+			continue
+		}
+		a, err := grouping.DecodeAssignment(row)
+		require.NoError(t, err)
+		v.Assignments[a.Instance] = a
+	}
+	return v
+}
+
+func instances(domains, each int) map[string]platform.Instance {
+	all := make(map[string]platform.Instance)
+	for d := range domains {
+		for i := range each {
+			name := fmt.Sprintf("i%d-%d", d, i)
+			all[name] = platform.Instance{Name: name, Zone: "z", FabricDomain: fmt.Sprintf("d%d", d), Address: name}
+		}
+	}
+	return all
+}
+
+// TestPromiseInstanceInOneGroup: entries that plan on stale views, race, and
+// repair, form and release groups never put an instance into two groups, and
+// no instance ever gets a lower generation than before.
+func TestPromiseInstanceInOneGroup(t *testing.T) {
+	all := instances(3, 5)
+	usable := func(string) bool { return true }
+	rapid.Check(t, func(rt *rapid.T) {
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 0))
+		table := &rows{byKey: make(map[string]platform.Row)}
+		planner := grouping.NewPlanner(grouping.Weights{Downtime: 1, Stranded: 1, Spares: 1})
+		views := []grouping.View{table.view(rt, all), table.view(rt, all), table.view(rt, all)}
+		generations := make(map[string]uint64)
+		for i := range 80 {
+			n := rng.IntN(len(views))
+			view := views[n]
+			name := fmt.Sprintf("g%d", rng.IntN(5))
+			row, exists := view.Groups[name]
+			attempt := fmt.Sprint(i)
+			switch {
+			case rng.IntN(3) == 0: // the entry reads the table anew
+				views[n] = table.view(rt, all)
+			case !exists:
+				if members, ok := planner.Form(2, view.Domains("s", usable)); ok {
+					after := grouping.Group{Name: name, Zone: "z", Domain: members[0].FabricDomain, Attempt: attempt}
+					for _, m := range members {
+						after.Members = append(after.Members, grouping.MemberOf(m))
+					}
+					after.Generation = view.NextGeneration(grouping.Group{}, after.Members)
+					table.commit(view.Transaction(grouping.Change{After: after}))
+				}
+			case rng.IntN(4) == 0:
+				table.commit(view.Release(row, attempt))
+			default: // a member is replaced
+				gone := []string{row.Members[rng.IntN(2)].Instance}
+				for _, d := range view.Domains("s", usable) {
+					members, ok := grouping.Replace(row.Group, gone, d.Free)
+					if d.Name != row.Domain || !ok {
+						continue
+					}
+					after := row.Group
+					after.Members, after.Attempt = members, attempt
+					after.Generation = view.NextGeneration(row.Group, members)
+					table.commit(view.Transaction(grouping.Change{Before: row, After: after, Removed: gone}))
+				}
+			}
+			if rng.IntN(4) == 0 { // quarantine ends
+				for _, a := range view.Assignments {
+					if a.Quarantined {
+						table.commit(grouping.Unquarantine(a, attempt))
+					}
+				}
+			}
+			requireOneGroupEach(rt, table.view(rt, all), generations)
+		}
+	})
+}
+
+func requireOneGroupEach(t require.TestingT, v grouping.View, generations map[string]uint64) {
+	owner := make(map[string]string)
+	for _, g := range v.Groups {
+		require.Len(t, g.Members, 2)
+		for _, m := range g.Members {
+			require.Empty(t, owner[m.Instance], "%s is in two groups", m.Instance)
+			owner[m.Instance] = g.Name
+			require.Equal(t, g.Domain, v.Instances[m.Instance].FabricDomain)
+			require.Equal(t, g.Name, v.Assignments[m.Instance].Group)
+			require.Equal(t, g.Generation, v.Assignments[m.Instance].Generation)
+		}
+	}
+	for name, a := range v.Assignments {
+		require.GreaterOrEqual(t, a.Generation, generations[name])
+		generations[name] = a.Generation
+		if a.Group != "" {
+			require.Equal(t, a.Group, owner[name])
+		}
+	}
+}
+
+// TestPromiseIncompleteGroupGetsNoPermit: whatever order and delay probes come
+// in, a group whose member went missing is not complete any more when the
+// evidence term has passed, and at once when a probe fails.
+func TestPromiseIncompleteGroupGetsNoPermit(t *testing.T) {
+	g := grouping.Group{Name: "g", Generation: 2, Members: []grouping.Member{{Instance: "a"}, {Instance: "b"}}}
+	inPlace := engine.Health{State: engine.Warm, Group: "g", Generation: 2}
+	rapid.Check(t, func(rt *rapid.T) {
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 0))
+		now := time.Unix(1000, 0)
+		m := grouping.NewMonitor(g)
+		missingSince := time.Time{}
+		failed := false
+		for range 60 {
+			now = now.Add(time.Duration(rng.IntN(400)) * time.Millisecond)
+			if missingSince.IsZero() && rng.IntN(15) == 0 {
+				missingSince = now
+			}
+			sentAt := now.Add(-time.Duration(rng.IntN(300)) * time.Millisecond)
+			switch rng.IntN(3) {
+			case 0:
+				m.Answered(sentAt, "a", inPlace)
+			case 1:
+				if missingSince.IsZero() || sentAt.Before(missingSince) {
+					m.Answered(sentAt, "b", inPlace)
+				} else if rng.IntN(2) == 0 {
+					m.Failed(sentAt, "b")
+					failed = true
+				}
+			}
+			verdict := m.Verdict(now)
+			if failed || !missingSince.IsZero() && now.Sub(missingSince) >= grouping.EvidenceTerm {
+				require.False(rt, verdict.Complete)
+			}
+			if verdict.Complete {
+				require.Less(rt, now.Sub(verdict.Evidence), grouping.EvidenceTerm)
+			}
+		}
+	})
+}
+
+func TestAMemberOutOfPlaceNeedsAnOrder(t *testing.T) {
+	g := grouping.Group{Name: "g", Generation: 2, Members: []grouping.Member{{Instance: "a"}, {Instance: "b"}}}
+	m := grouping.NewMonitor(g)
+	now := time.Unix(1000, 0)
+	m.Answered(now, "a", engine.Health{State: engine.Warm, Group: "g", Generation: 2})
+	m.Answered(now, "b", engine.Health{State: engine.Idle})
+	require.False(t, m.Verdict(now).Complete)
+	require.Equal(t, []int{1}, m.Misplaced())
+	m.Answered(now, "b", engine.Health{State: engine.Loading, Group: "g", Generation: 2})
+	require.Empty(t, m.Misplaced())
+	require.False(t, m.Verdict(now).Complete)
+	m.Answered(now, "b", engine.Health{State: engine.Cold, Group: "g", Generation: 2})
+	require.True(t, m.Verdict(now).Complete)
+	require.True(t, m.Verdict(now).Cold)
+	m.Answered(now, "a", engine.Health{State: engine.Warm, Group: "g", Generation: 3})
+	require.True(t, m.Verdict(now).Superseded)
+	require.False(t, m.Verdict(now).Complete)
+}
