Promise tests: fleets in virtual time under random schedules of all faults

Found: three loops held a mutex across platform calls, so that an operator, a shutdown and a loop waited for each other without regard to their deadlines (virtual time stood still on it); they now take turns that end with their context.

--- a/internal/entry/configurer.go
+++ b/internal/entry/configurer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,7 +30,7 @@
 	// onChange runs after a new revision came into force.
 	onChange func()
 
-	mu sync.Mutex
+	turn turn
 }
 
 // step reads what the platform's table holds beyond the revision in force.
@@ -42,8 +41,10 @@
 // refresh brings the configuration up to the table's head and returns the
 // version of the head's row.
 func (c *configurer) refresh(ctx context.Context) (int64, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	if !c.turn.take(ctx) {
+		return 0, ctx.Err()
+	}
+	defer c.turn.give()
 	row, found, err := c.platform.Get(ctx, config.HeadKey)
 	if c.health.note(err) != nil {
 		return 0, err
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -157,11 +157,11 @@
 	e.views = newViewKeeper(e.logger, e.settings.Zone, e.platform, e.health, o.timing)
 	e.configure = &configurer{
 		logger: e.logger, platform: e.platform, health: e.health, log: e.config,
-		onChange: e.configChanged,
+		onChange: e.configChanged, turn: newTurn(),
 	}
 	e.session = &sessionKeeper{
 		logger: e.logger, platform: e.platform, health: e.health, holder: e.holder,
-		timing: o.timing, identity: identity,
+		timing: o.timing, identity: identity, turn: newTurn(),
 		relay: func(ctx context.Context, r peer.Relay) (peer.RelayReply, bool) {
 			return e.peers.relay(ctx, r)
 		},
@@ -179,6 +179,7 @@
 		}),
 		quarantine: o.timing.Term + orderTimeout,
 		suspects:   make(map[string]time.Time),
+		turn:       newTurn(),
 	}
 	seams := watchSeams{
 		logger: e.logger, engines: e.engines, config: e.config,
@@ -328,6 +329,9 @@
 	return !e.stopping.Load() && e.config.State().Revision() > 0
 }
 
+// Revision returns the configuration revision in force.
+func (e *Entry) Revision() uint64 { return e.config.State().Revision() }
+
 // CallerAddress returns the address of the caller listener.
 func (e *Entry) CallerAddress() string { return e.callerListener.address() }
 
--- a/internal/entry/group_keeper.go
+++ b/internal/entry/group_keeper.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -42,7 +41,7 @@
 	// quarantine is how long an instance without fencing stays unused.
 	quarantine time.Duration
 
-	mu       sync.Mutex
+	turn     turn
 	leaving  bool
 	seen     map[string]quarantineSighting
 	suspects map[string]time.Time
@@ -57,8 +56,10 @@
 // step does everything that is due. Each act works on a copy of the view that
 // holds the outcome of the acts before it.
 func (k *groupKeeper) step(ctx context.Context) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
+	if !k.turn.take(ctx) {
+		return
+	}
+	defer k.turn.give()
 	now := time.Now()
 	k.watches.follow(now)
 	if k.leaving || !k.mayAct() {
@@ -317,8 +318,10 @@
 // handOver gives all owned groups to other entries of the zone, in one
 // transaction, and forms or takes over no more.
 func (k *groupKeeper) handOver(ctx context.Context) error {
-	k.mu.Lock()
-	defer k.mu.Unlock()
+	if !k.turn.take(ctx) {
+		return ctx.Err()
+	}
+	defer k.turn.give()
 	k.leaving = true
 	k.views.step(ctx)
 	txn, given := k.handOverTransaction()
--- a/internal/entry/session_keeper.go
+++ b/internal/entry/session_keeper.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,15 +24,17 @@
 	// relay sends a session write through a peer of the zone.
 	relay func(ctx context.Context, r peer.Relay) (peer.RelayReply, bool)
 
-	mu sync.Mutex
+	turn turn
 	// closing keeps the loop from opening a new session.
 	closing bool
 }
 
 // step renews the session, or opens one.
 func (k *sessionKeeper) step(ctx context.Context) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
+	if !k.turn.take(ctx) {
+		return
+	}
+	defer k.turn.give()
 	if k.closing {
 		return
 	}
@@ -121,8 +122,10 @@
 
 // close gives the session up, so that nobody has to wait for it to lapse.
 func (k *sessionKeeper) close(ctx context.Context) error {
-	k.mu.Lock()
-	defer k.mu.Unlock()
+	if !k.turn.take(ctx) {
+		return ctx.Err()
+	}
+	defer k.turn.give()
 	k.closing = true
 	next, version, open := k.holder.Closing(newIdentifier())
 	if !open {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -14,16 +14,20 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/hibiscuspulley/hibiscuspulley/internal/entry"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/grouping"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/settings"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/standin"
 	"github.com/hibiscuspulley/hibiscuspulley/pkg/operator"
+	"github.com/hibiscuspulley/hibiscuspulley/pkg/platform"
 )
 
+// PlatformZone is the place of the platform's stand-in in the network.
+const PlatformZone = "platform"
+
 const (
-	platformZone = "platform"
-	operatorKey  = "operator-key-of-the-fleet"
-	peerKey      = "peer-key-of-the-whole-fleet"
-	anyPort      = "127.0.0.1:0"
+	operatorKey = "operator-key-of-the-fleet"
+	peerKey     = "peer-key-of-the-whole-fleet"
+	anyPort     = "127.0.0.1:0"
 )
 
 // Instance is one instance of the fleet with its backend server.
@@ -95,7 +99,7 @@
 	if err := f.writeKeys(); err != nil {
 		return err
 	}
-	address, err := f.serve(platformZone, f.Platform, nil)
+	address, err := f.serve(PlatformZone, f.Platform, nil)
 	if err != nil {
 		return err
 	}
@@ -453,3 +457,19 @@
 	}
 	_ = os.RemoveAll(f.directory)
 }
+
+// GroupMembers returns the members of each replica group as the platform's
+// table shows them.
+func (f *Fleet) GroupMembers() map[string][]string {
+	members := make(map[string][]string)
+	for _, key := range f.Platform.Table.Keys(grouping.GroupPrefix) {
+		row, err := grouping.DecodeGroup(platform.Row{Key: key, Value: f.Platform.Table.Value(key)})
+		if err != nil {
+			continue
+		}
+		for _, m := range row.Members {
+			members[key] = append(members[key], m.Instance)
+		}
+	}
+	return members
+}
--- /dev/null
+++ b/internal/fleet/main_test.go
@@ -0,0 +1,14 @@
+package fleet_test
+
+import (
+	"os"
+	"testing"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/seeded"
+)
+
+// chaosCases is how many random schedules each promise is tried under; set
+// -rapid.checks for more.
+const chaosCases = 6
+
+func TestMain(m *testing.M) { os.Exit(seeded.Main(m, chaosCases)) }
--- a/internal/grouping/property_test.go
+++ b/internal/grouping/property_test.go
@@ -24,10 +24,10 @@
 	byKey   map[string]platform.Row
 }
 
-func (r *rows) commit(txn platform.Transaction) bool {
+func (r *rows) commit(txn platform.Transaction) {
 	for _, c := range txn.Compares {
 		if r.byKey[c.Key].Version != c.Version {
-			return false
+			return
 		}
 	}
 	r.version++
@@ -37,7 +37,6 @@
 	for _, key := range txn.Deletes {
 		delete(r.byKey, key)
 	}
-	return true
 }
 
 func (r *rows) view(t require.TestingT, instances map[string]platform.Instance) grouping.View {
