--- a/internal/fleet/chaos_faults_test.go
+++ b/internal/fleet/chaos_faults_test.go
@@ -13,14 +13,29 @@
 // engineFault gives one engine faults for a while.
 func engineFault(name string, faults standin.EngineFaults) fault {
 	return fault{name, func(c *chaos, rng *rand.Rand, d time.Duration) {
-		engines := c.fleet.Engines()
-		i := engines[rng.IntN(len(engines))]
+		i := c.anEngine(rng)
 		i.Engine.SetFaults(faults)
 		time.Sleep(d)
 		i.Engine.SetFaults(standin.EngineFaults{})
 	}}
 }
 
+// anEngine returns a random engine; every other time one that leads a group.
+func (c *chaos) anEngine(rng *rand.Rand) *fleet.Instance {
+	engines := c.fleet.Engines()
+	i := engines[rng.IntN(len(engines))]
+	if rng.IntN(2) == 0 {
+		return i
+	}
+	for range engines {
+		if i.Engine.Rank() == 0 {
+			break
+		}
+		i = engines[rng.IntN(len(engines))]
+	}
+	return i
+}
+
 // platformFault gives the platform faults for a while.
 func platformFault(name string, faults standin.PlatformFaults) fault {
 	return fault{name, func(c *chaos, _ *rand.Rand, d time.Duration) {
@@ -59,9 +74,23 @@
 		return zones[a], zones[(a+1)%len(zones)]
 	})
 
+	entriesApart = fault{"two entries of a zone are cut off from each other", func(c *chaos, rng *rand.Rand, d time.Duration) {
+		entries := c.fleet.Entries()
+		if len(entries) == 0 {
+			return
+		}
+		a := entries[rng.IntN(len(entries))]
+		for _, b := range entries {
+			if b != a && b.Zone == a.Zone {
+				c.fleet.Network.Cut(a.Name, b.Name)
+				time.Sleep(d)
+				c.fleet.Network.Heal(a.Name, b.Name)
+				return
+			}
+		}
+	}}
 	turnsCold = fault{"a group turns cold without a warning", func(c *chaos, rng *rand.Rand, _ time.Duration) {
-		engines := c.fleet.Engines()
-		engines[rng.IntN(len(engines))].Engine.TurnCold()
+		c.anEngine(rng).Engine.TurnCold()
 	}}
 	domainDark = fault{"a fabric domain goes dark", func(c *chaos, rng *rand.Rand, d time.Duration) {
 		engines := c.fleet.Engines()
@@ -117,7 +146,8 @@
 // allFaults are the faults that the brief names.
 var allFaults = []fault{
 	memberDies, memberDies, memberPauses, memberLags, answersCut, answersCrossed, turnsCold, domainDark,
-	platformDown, platformSlow, platformForgot, zoneOffPlatform, zonesApart, connectionsSilent,
+	platformDown, platformSlow, platformForgot, zoneOffPlatform, zonesApart, entriesApart,
+	connectionsSilent,
 	serviceForgets, entryDies, entryLeaves, operatorsRace,
 }
 
--- a/internal/fleet/chaos_test.go
+++ b/internal/fleet/chaos_test.go
@@ -40,6 +40,8 @@
 type chaos struct {
 	ctx   context.Context
 	fleet *fleet.Fleet
+	// requestEvery is the time between two requests.
+	requestEvery time.Duration
 
 	mu         sync.Mutex
 	broken     []string
@@ -65,12 +67,18 @@
 // underFaults runs fleets under schedules drawn from the faults, and then
 // judges each run.
 func underFaults(t *testing.T, faults []fault, judge func(c *chaos)) {
+	t.Helper()
+	underFaultsAndLoad(t, faults, requestEvery, judge)
+}
+
+// underFaultsAndLoad does so with a request every so often.
+func underFaultsAndLoad(t *testing.T, faults []fault, every time.Duration, judge func(c *chaos)) {
 	t.Helper()
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Uint64().Draw(rt, "seed")
 		var broken []string
 		synctest.Test(t, func(t *testing.T) {
-			broken = runChaos(t, seed, faults, judge)
+			broken = runChaos(t, seed, faults, every, judge)
 		})
 		if len(broken) > 0 {
 			rt.Fatalf("seed %d: %d promises broken, the first: %s", seed, len(broken), broken[0])
@@ -78,7 +86,7 @@
 	})
 }
 
-func runChaos(t *testing.T, seed uint64, faults []fault, judge func(c *chaos)) []string {
+func runChaos(t *testing.T, seed uint64, faults []fault, every time.Duration, judge func(c *chaos)) []string {
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Minute)
 	defer cancel()
 	plan := fleet.DefaultPlan()
@@ -90,7 +98,7 @@
 	require.NoError(t, err)
 	require.NoError(t, f.WaitComplete(ctx))
 	c := &chaos{
-		ctx: ctx, fleet: f, records: make(map[string]load.Answer),
+		ctx: ctx, fleet: f, requestEvery: every, records: make(map[string]load.Answer),
 		revisions: make(map[*fleet.Member]uint64), accepted: make(map[uint64]operator.Change),
 	}
 	rng := rand.New(rand.NewPCG(seed, 1))
@@ -116,7 +124,7 @@
 		})
 	}
 	end := time.Now().Add(chaosTime)
-	wg.Go(func() { c.every(end, requestEvery, c.request) })
+	wg.Go(func() { c.every(end, c.requestEvery, c.request) })
 	wg.Go(func() { c.every(end, recordEvery, c.record) })
 	wg.Go(func() { c.every(end, sampleEvery, func(int) { c.sample() }) })
 	wg.Wait()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -268,9 +268,10 @@
 
 // StartEntry starts an entry in the zone.
 func (f *Fleet) StartEntry(name, zone string) (*Member, error) {
+	f.Network.Place(name, zone)
 	opts := append([]entry.Option{
-		entry.WithLogger(f.logger), entry.WithDial(f.Network.Dialer(zone)),
-		entry.WithListen(f.Network.Listener(zone)),
+		entry.WithLogger(f.logger), entry.WithDial(f.Network.Dialer(name)),
+		entry.WithListen(f.Network.Listener(name)),
 	}, f.Plan.EntryOptions...)
 	e, err := entry.New(f.entrySettings(name, zone), opts...)
 	if err != nil {
--- a/internal/fleet/promise_test.go
+++ b/internal/fleet/promise_test.go
@@ -33,7 +33,9 @@
 }
 
 func TestPromiseAColdServerBearsItsLoad(t *testing.T) {
-	underFaults(t, with(turnsCold, memberDies, entryDies, zoneOffPlatform), nothingMore)
+	// The load is such that every credit of a cold group is in use.
+	const busy = 25 * time.Millisecond
+	underFaultsAndLoad(t, with(turnsCold, memberDies, entryDies, zoneOffPlatform, entriesApart), busy, nothingMore)
 }
 
 func TestPromiseAZoneOutGetsNoNewWork(t *testing.T) {
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -7,21 +7,23 @@
 	"sync/atomic"
 )
 
-// zonePair names the two ends of a connection, in either order.
-type zonePair struct {
+// placePair names the two ends of a connection, in either order.
+type placePair struct {
 	from string
 	to   string
 }
 
-// Network connects processes in zones and can cut zones off from each other.
+// Network connects processes in places and can cut places off from each other.
+// A place is a zone, or a process in one.
 type Network struct {
 	listen func(address string) (net.Listener, error)
 	dial   func(ctx context.Context, address string) (net.Conn, error)
 
-	mu    sync.Mutex
-	zones map[string]string
-	cut   map[zonePair]bool
-	conns map[*silentConn]struct{}
+	mu     sync.Mutex
+	places map[string]string
+	zones  map[string]string
+	cut    map[placePair]bool
+	conns  map[*silentConn]struct{}
 }
 
 // NewLoopback returns a Network over TCP on the loopback address.
@@ -43,13 +45,20 @@
 func newNetwork(listen func(string) (net.Listener, error), dial func(context.Context, string) (net.Conn, error)) *Network {
 	return &Network{
 		listen: listen, dial: dial,
-		zones: make(map[string]string), cut: make(map[zonePair]bool),
+		places: make(map[string]string), zones: make(map[string]string), cut: make(map[placePair]bool),
 		conns: make(map[*silentConn]struct{}),
 	}
 }
 
-// Listener returns a listen function for processes of the zone.
-func (n *Network) Listener(zone string) func(network, address string) (net.Listener, error) {
+// Place says that a process is a place of its own in a zone.
+func (n *Network) Place(process, zone string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.zones[process] = zone
+}
+
+// Listener returns a listen function for processes of the place.
+func (n *Network) Listener(place string) func(network, address string) (net.Listener, error) {
 	return func(_, address string) (net.Listener, error) {
 		l, err := n.listen(address)
 		if err != nil {
@@ -57,16 +66,16 @@
 		}
 		n.mu.Lock()
 		defer n.mu.Unlock()
-		n.zones[l.Addr().String()] = zone
+		n.places[l.Addr().String()] = place
 		return l, nil
 	}
 }
 
-// Dialer returns a dial function for processes of the zone.
-func (n *Network) Dialer(zone string) func(ctx context.Context, network, address string) (net.Conn, error) {
+// Dialer returns a dial function for processes of the place.
+func (n *Network) Dialer(place string) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, _, address string) (net.Conn, error) {
-		to := n.zoneOf(address)
-		if n.isCut(zone, to) {
+		to := n.placeOf(address)
+		if n.isCut(place, to) {
 			<-ctx.Done()
 			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: ctx.Err()}
 		}
@@ -74,50 +83,63 @@
 		if err != nil {
 			return nil, err
 		}
-		return n.track(conn, zone, to), nil
+		return n.track(conn, place, to), nil
 	}
 }
 
-func (n *Network) zoneOf(address string) string {
+func (n *Network) placeOf(address string) string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.zones[address]
+	return n.places[address]
 }
 
 func (n *Network) isCut(a, b string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.cut[zonePair{a, b}]
+	return n.cutBetween(placePair{a, b})
+}
+
+// cutBetween reports whether the places, or the zones that they are in, are
+// cut off from each other.
+func (n *Network) cutBetween(ends placePair) bool {
+	for _, from := range []string{ends.from, n.zones[ends.from]} {
+		for _, to := range []string{ends.to, n.zones[ends.to]} {
+			if n.cut[placePair{from, to}] {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 func (n *Network) track(conn net.Conn, from, to string) net.Conn {
-	c := &silentConn{Conn: conn, network: n, ends: zonePair{from, to}}
+	c := &silentConn{Conn: conn, network: n, ends: placePair{from, to}}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.conns[c] = struct{}{}
 	return c
 }
 
-// Cut separates two zones: open connections go silent for good, new ones
+// Cut separates two places: open connections go silent for good, new ones
 // can't be opened.
 func (n *Network) Cut(a, b string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.cut[zonePair{a, b}] = true
-	n.cut[zonePair{b, a}] = true
+	n.cut[placePair{a, b}] = true
+	n.cut[placePair{b, a}] = true
 	for c := range n.conns {
-		if n.cut[c.ends] {
+		if n.cutBetween(c.ends) {
 			c.silent.Store(true)
 		}
 	}
 }
 
-// Heal lets two zones open connections to each other again.
+// Heal lets two places open connections to each other again.
 func (n *Network) Heal(a, b string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	delete(n.cut, zonePair{a, b})
-	delete(n.cut, zonePair{b, a})
+	delete(n.cut, placePair{a, b})
+	delete(n.cut, placePair{b, a})
 }
 
 // Silence makes all open connections to an address silent for good; new ones
@@ -137,7 +159,7 @@
 type silentConn struct {
 	net.Conn
 	network *Network
-	ends    zonePair
+	ends    placePair
 	silent  atomic.Bool
 }
 
