--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -60,6 +60,8 @@
 	Network  *standin.Network
 	Platform *standin.Platform
 	Records  *standin.Records
+	// Seeds are the peer addresses that entries started from now on know.
+	Seeds []string
 
 	logger     *logrus.Logger
 	directory  string
@@ -297,7 +299,7 @@
 		Platform: settings.Platform{
 			TableURL: base, ObjectsURL: base + "/objects", InstancesURL: base + "/instances", Timeout: time.Second,
 		},
-		Limits: f.Plan.Limits, Grouping: f.Plan.Grouping,
+		Seeds: f.Seeds, Limits: f.Plan.Limits, Grouping: f.Plan.Grouping,
 	}
 }
 
--- /dev/null
+++ b/internal/fleet/focused_test.go
@@ -0,0 +1,248 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/fleet"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/load"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/standin"
+	"github.com/hibiscuspulley/hibiscuspulley/pkg/operator"
+)
+
+// flood sends requests through all entries for a while and returns how many
+// answers were whole.
+func flood(ctx context.Context, f *fleet.Fleet, every, d time.Duration) int {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	whole := 0
+	for n := 0; time.Duration(n)*every < d; n++ {
+		m := f.Entries()[n%len(f.Entries())]
+		wg.Go(func() {
+			if generate(ctx, f, m, fmt.Sprintf("p%d", n), 30).Whole {
+				mu.Lock()
+				defer mu.Unlock()
+				whole++
+			}
+		})
+		time.Sleep(every)
+	}
+	wg.Wait()
+	return whole
+}
+
+func leaders(f *fleet.Fleet) []*fleet.Instance {
+	var list []*fleet.Instance
+	for _, i := range f.Engines() {
+		if i.Engine.Rank() == 0 {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// openGroups counts the groups for which the entry's permit is valid.
+func openGroups(ctx context.Context, t *testing.T, f *fleet.Fleet, m *fleet.Member) int {
+	t.Helper()
+	status, err := f.Operator(m).Status(ctx)
+	require.NoError(t, err)
+	open := 0
+	for _, g := range status.Groups {
+		if g.Valid && g.Credits > 0 {
+			open++
+		}
+	}
+	return open
+}
+
+func TestAColdGroupHasOneLenderWhileEntriesAreApart(t *testing.T) {
+	plan := oneZone()
+	plan.GroupsPerZone = 1
+	plan.Speed.ColdTime = 20 * time.Second
+	inFleet(t, plan, func(ctx context.Context, t *testing.T, f *fleet.Fleet) {
+		f.Network.Cut(f.Entries()[0].Name, f.Entries()[1].Name)
+		time.Sleep(5 * time.Second)
+		for _, i := range leaders(f) {
+			i.Engine.TurnCold()
+		}
+		time.Sleep(3 * time.Second)
+		require.Positive(t, flood(ctx, f, 30*time.Millisecond, 10*time.Second))
+		require.Zero(t, f.Counts().ColdLimitExceeded)
+	})
+}
+
+func TestAMissingMemberStopsItsGroupAtOnceEverywhere(t *testing.T) {
+	plan := oneZone()
+	plan.GroupsPerZone = 1
+	plan.InstancesPerDomain = 2 // no spare, so that the group stays closed
+	plan.DomainsPerZone = 1
+	inFleet(t, plan, func(ctx context.Context, t *testing.T, f *fleet.Fleet) {
+		for _, i := range f.Engines() {
+			if i.Engine.Rank() == 1 {
+				i.Engine.SetFaults(standin.EngineFaults{Dead: true})
+			}
+		}
+		time.Sleep(600 * time.Millisecond) // one probe, and the push
+		for _, m := range f.Entries() {
+			require.Zero(t, openGroups(ctx, t, f, m), m.Name)
+		}
+	})
+}
+
+func TestAPausedMemberStopsItsGroupWithinTheTerm(t *testing.T) {
+	plan := oneZone()
+	plan.GroupsPerZone = 1
+	plan.InstancesPerDomain = 2
+	plan.DomainsPerZone = 1
+	inFleet(t, plan, func(ctx context.Context, t *testing.T, f *fleet.Fleet) {
+		for _, i := range f.Engines() {
+			if i.Engine.Rank() == 1 {
+				i.Engine.SetFaults(standin.EngineFaults{Paused: true})
+			}
+		}
+		time.Sleep(2 * time.Second)
+		for _, m := range f.Entries() {
+			require.Zero(t, openGroups(ctx, t, f, m), m.Name)
+		}
+	})
+}
+
+func TestAMemberIsReplacedInItsDomain(t *testing.T) {
+	inFleet(t, oneZone(), func(ctx context.Context, t *testing.T, f *fleet.Fleet) {
+		dead := leaders(f)[0]
+		dead.Engine.SetFaults(standin.EngineFaults{Dead: true})
+		require.NoError(t, f.WaitComplete(ctx))
+		time.Sleep(10 * time.Second)
+		require.NoError(t, f.WaitComplete(ctx))
+		for _, members := range f.GroupMembers() {
+			require.NotContains(t, members, dead.Name)
+		}
+		requireWhole(t, generate(ctx, f, f.Entries()[0], "x", 9), "x", 9)
+	})
+}
+
+func TestAZoneServesThroughALongPlatformOutage(t *testing.T) {
+	inFleet(t, oneZone(), func(ctx context.Context, t *testing.T, f *fleet.Fleet) {
+		f.Platform.SetFaults(standin.PlatformFaults{Outage: true})
+		time.Sleep(time.Minute)
+		for _, m := range f.Entries() {
+			requireWhole(t, generate(ctx, f, m, "outage", 20), "outage", 20)
+		}
+		// An entry that dies in the outage takes no group with it.
+		f.Entries()[0].Entry.Close()
+		f.Remove(f.Entries()[0])
+		time.Sleep(10 * time.Second)
+		for range 5 {
+			requireWhole(t, generate(ctx, f, f.Entries()[0], "outage", 20), "outage", 20)
+		}
+		require.Equal(t, 2, openGroups(ctx, t, f, f.Entries()[0]))
+		f.Platform.SetFaults(standin.PlatformFaults{})
+	})
+}
+
+func TestGroupsOfADeadEntryServeOnBeforeTheTakeover(t *testing.T) {
+	inFleet(t, oneZone(), func(ctx context.Context, t *testing.T, f *fleet.Fleet) {
+		f.Entries()[0].Entry.Close()
+		f.Remove(f.Entries()[0])
+		time.Sleep(3 * time.Second) // the session lapses only after 7 s
+		require.Equal(t, 2, openGroups(ctx, t, f, f.Entries()[0]))
+		time.Sleep(20 * time.Second)
+		status, err := f.Operator(f.Entries()[0]).Status(ctx)
+		require.NoError(t, err)
+		for _, g := range status.Groups {
+			require.Equal(t, f.Entries()[0].Name, g.Owner, "the group was taken over")
+		}
+	})
+}
+
+func TestAnEntryStartsFromItsPeersDuringAnOutage(t *testing.T) {
+	inFleet(t, oneZone(), func(ctx context.Context, t *testing.T, f *fleet.Fleet) {
+		f.Platform.SetFaults(standin.PlatformFaults{Outage: true})
+		f.Seeds = []string{f.Entries()[0].Entry.PeerAddress()}
+		m, err := f.StartEntry("late", "a")
+		require.NoError(t, err)
+		time.Sleep(5 * time.Second)
+		require.True(t, m.Entry.Ready())
+		require.Equal(t, f.Entries()[0].Entry.Revision(), m.Entry.Revision())
+		f.Platform.SetFaults(standin.PlatformFaults{})
+	})
+}
+
+func TestAnEntryOffThePlatformRenewsThroughAPeer(t *testing.T) {
+	inFleet(t, oneZone(), func(ctx context.Context, t *testing.T, f *fleet.Fleet) {
+		m := f.Entries()[0]
+		before, err := f.Operator(m).Status(ctx)
+		require.NoError(t, err)
+		f.Network.Cut(m.Name, fleet.PlatformZone)
+		time.Sleep(30 * time.Second)
+		row := string(f.Platform.Table.Value("session/a/" + m.Name))
+		require.Contains(t, row, `"state":"live"`)
+		after, err := f.Operator(m).Status(ctx)
+		require.NoError(t, err)
+		require.False(t, after.PlatformReachable)
+		require.Equal(t, before.SessionEpoch, after.SessionEpoch)
+	})
+}
+
+func TestAChangeIsInForceInSecondsAndSurvivesItsAuthor(t *testing.T) {
+	plan := fleet.DefaultPlan()
+	plan.LogLevel = "error"
+	inFleet(t, plan, func(ctx context.Context, t *testing.T, f *fleet.Fleet) {
+		author := f.Entries()[0]
+		accepted, err := f.Operator(author).Apply(ctx, operator.Change{
+			Author: "ann", Kind: operator.KindInstance, Name: "engine-a-0-0",
+			Instance: &operator.Instance{Name: "engine-a-0-0", Held: true},
+		})
+		require.NoError(t, err)
+		author.Entry.Close()
+		f.Remove(author)
+		time.Sleep(3 * time.Second)
+		for _, m := range f.Entries() {
+			require.Equal(t, accepted.Revision, m.Entry.Revision(), m.Name)
+		}
+	})
+}
+
+func TestALostAnswerOfAnAcceptedChangeIsNotAcceptedTwice(t *testing.T) {
+	inFleet(t, oneZone(), func(ctx context.Context, t *testing.T, f *fleet.Fleet) {
+		client := f.Operator(f.Entries()[0])
+		read, err := client.Configuration(ctx)
+		require.NoError(t, err)
+		f.Platform.SetFaults(standin.PlatformFaults{LoseAnswers: true})
+		accepted, err := client.Apply(ctx, operator.Change{
+			Base: read.Revision, Author: "ann", Reason: "r", Kind: operator.KindZone, Name: "q",
+			Zone: &operator.Zone{Name: "q", Out: true},
+		})
+		require.NoError(t, err)
+		require.Equal(t, read.Revision+1, accepted.Revision)
+		f.Platform.SetFaults(standin.PlatformFaults{})
+		time.Sleep(3 * time.Second)
+		require.Equal(t, accepted.Revision, f.Entries()[1].Entry.Revision())
+	})
+}
+
+func TestAPoolOfSilentConnectionsIsReplaced(t *testing.T) {
+	inFleet(t, oneZone(), func(ctx context.Context, t *testing.T, f *fleet.Fleet) {
+		require.Positive(t, flood(ctx, f, 20*time.Millisecond, time.Second))
+		for _, i := range f.Instances() {
+			f.Network.Silence(i.Address)
+		}
+		for _, m := range f.Entries() {
+			f.Network.Silence(m.Entry.PeerAddress())
+		}
+		time.Sleep(100 * time.Millisecond)
+		for _, m := range f.Entries() {
+			requireWhole(t, generate(ctx, f, m, "silent", 20), "silent", 20)
+			client := f.Client("a")
+			answer := load.NewCaller(client, fleet.Key(0)).Record(ctx, "http://"+m.CallerAddress, fleet.ServiceName, standin.RecordHeader, "s-"+m.Name)
+			client.CloseIdleConnections()
+			require.True(t, answer.Whole)
+			require.Equal(t, 1, f.Records.Count("s-"+m.Name))
+		}
+	})
+}
