--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -332,6 +332,17 @@
 // Revision returns the configuration revision in force.
 func (e *Entry) Revision() uint64 { return e.config.State().Revision() }
 
+// OpenGroups returns the replica groups that the entry may send to now.
+func (e *Entry) OpenGroups() []string {
+	var open []string
+	for _, s := range e.permits.All(time.Now()) {
+		if s.Valid && s.Credits > 0 {
+			open = append(open, s.Group)
+		}
+	}
+	return open
+}
+
 // CallerAddress returns the address of the caller listener.
 func (e *Entry) CallerAddress() string { return e.callerListener.address() }
 
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -353,3 +353,10 @@
 	defer e.mu.Unlock()
 	return e.running
 }
+
+// Dead reports whether the engine is dead.
+func (e *Engine) Dead() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults.Dead
+}
