--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -23,7 +23,9 @@
 	places map[string]string
 	zones  map[string]string
 	cut    map[placePair]bool
-	conns  map[*silentConn]struct{}
+	// bytes counts what each place has sent and received.
+	bytes map[string]int64
+	conns map[*silentConn]struct{}
 }
 
 // NewLoopback returns a Network over TCP on the loopback address.
@@ -46,6 +48,7 @@
 	return &Network{
 		listen: listen, dial: dial,
 		places: make(map[string]string), zones: make(map[string]string), cut: make(map[placePair]bool),
+		bytes: make(map[string]int64),
 		conns: make(map[*silentConn]struct{}),
 	}
 }
@@ -163,11 +166,27 @@
 	silent  atomic.Bool
 }
 
+// Bytes returns how many bytes the place has sent and received so far.
+func (n *Network) Bytes(place string) int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.bytes[place]
+}
+
+// count notes bytes that went over a connection.
+func (n *Network) count(ends placePair, bytes int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.bytes[ends.from] += int64(bytes)
+	n.bytes[ends.to] += int64(bytes)
+}
+
 // Read implements net.Conn.
 func (c *silentConn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
 		if err != nil || !c.silent.Load() {
+			c.network.count(c.ends, n)
 			return n, err
 		}
 	}
@@ -178,6 +197,7 @@
 	if c.silent.Load() {
 		return len(p), nil
 	}
+	c.network.count(c.ends, len(p))
 	return c.Conn.Write(p)
 }
 
