A member that comes back without its role gets an order again

Ruled out: spares (there are too few by design in that layout), quarantine. Change: any answer clears the mark. Tests: TestAMemberThatComesBackNeedsAnOrder, TestADomainThatComesBackServesAgain, both red before.

--- a/internal/fleet/focused_test.go
+++ b/internal/fleet/focused_test.go
@@ -246,3 +246,22 @@
 		}
 	})
 }
+
+func TestADomainThatComesBackServesAgain(t *testing.T) {
+	plan := oneZone()
+	plan.DomainsPerZone = 1
+	plan.InstancesPerDomain = 4 // no spares
+	inFleet(t, plan, func(ctx context.Context, t *testing.T, f *fleet.Fleet) {
+		set := func(faults standin.EngineFaults) {
+			for _, i := range f.Engines() {
+				i.Engine.SetFaults(faults)
+			}
+		}
+		set(standin.EngineFaults{Dead: true})
+		time.Sleep(30 * time.Second)
+		require.Zero(t, openGroups(ctx, t, f, f.Entries()[0]))
+		set(standin.EngineFaults{})
+		time.Sleep(10 * time.Second)
+		require.Equal(t, 2, openGroups(ctx, t, f, f.Entries()[0]))
+	})
+}
--- a/internal/grouping/monitor.go
+++ b/internal/grouping/monitor.go
@@ -73,15 +73,10 @@
 	inPlace := health.Group == m.group.Name && health.Generation == m.group.Generation
 	watch.misplaced = !inPlace
 	serving := health.State == engine.Cold || health.State == engine.Warm
-	switch {
-	case inPlace && serving:
+	watch.failing = time.Time{} // whatever it does, it answers
+	watch.good = time.Time{}
+	if inPlace && serving {
 		watch.good = sentAt
-		watch.failing = time.Time{}
-	case inPlace:
-		watch.good = time.Time{}
-		watch.failing = time.Time{} // it loads, which is no failure
-	default:
-		watch.good = time.Time{}
 	}
 }
 
--- a/internal/grouping/property_test.go
+++ b/internal/grouping/property_test.go
@@ -205,3 +205,15 @@
 	require.True(t, m.Verdict(now).Superseded)
 	require.False(t, m.Verdict(now).Complete)
 }
+
+func TestAMemberThatComesBackNeedsAnOrder(t *testing.T) {
+	g := grouping.Group{Name: "g", Generation: 2, Members: []grouping.Member{{Instance: "a"}}}
+	m := grouping.NewMonitor(g)
+	now := time.Unix(1000, 0)
+	m.Failed(now, "a")
+	require.Empty(t, m.Misplaced())
+	require.Equal(t, []string{"a"}, m.Missing(now.Add(time.Minute), time.Second))
+	m.Answered(now.Add(time.Minute), "a", engine.Health{State: engine.Idle})
+	require.Equal(t, []int{0}, m.Misplaced())
+	require.Empty(t, m.Missing(now.Add(2*time.Minute), time.Second))
+}
