View: read only the rows that changed, and the instance list by entity tag

Cause: CAPACITY.md's lines 3 and 4: an entry's control bytes grew by 4,140 B/s for each entry of its zone and by 1,360 B/s for each group, because every row of the zone was read every 2 s. Change: range reads carry min_mod_revision, with a full read every 30 s and after a transaction that found another state; other zones' sessions only then; If-None-Match for the instance list.

--- a/internal/entry/group_keeper.go
+++ b/internal/entry/group_keeper.go
@@ -95,14 +95,19 @@
 	return len(entries) > 0 && routing.Rendezvous(key, entries)[0] == k.owner().Entry
 }
 
-// commit runs a transaction and refreshes the view, whatever came of it.
+// commit runs a transaction and brings the view up to date, whatever came of
+// it.
 func (k *groupKeeper) commit(ctx context.Context, txn platform.Transaction) bool {
 	outcome, err := k.platform.Commit(ctx, txn)
 	if errors.Is(err, platform.ErrUnavailable) {
 		_ = k.health.note(err)
 	}
-	k.views.step(ctx)
-	return err == nil && outcome.Succeeded
+	if err == nil && outcome.Succeeded {
+		k.views.step(ctx)
+		return true
+	}
+	k.views.refresh(ctx)
+	return false
 }
 
 func (k *groupKeeper) lapseSilent(ctx context.Context) {
@@ -310,6 +315,7 @@
 
 func (k *groupKeeper) release(ctx context.Context, row grouping.GroupRow) {
 	if k.commit(ctx, k.views.current().Release(row, newIdentifier())) {
+		k.views.refresh(ctx) // a deleted row shows only in a full read
 		k.watches.drop(row.Name)
 		event.GroupReleased.Log(k.logger, logrus.Fields{"group": row.Name})
 	}
@@ -323,7 +329,7 @@
 	}
 	defer k.turn.give()
 	k.leaving = true
-	k.views.step(ctx)
+	k.views.refresh(ctx)
 	txn, given := k.handOverTransaction()
 	if len(given) == 0 {
 		return nil
--- a/internal/entry/operator_api.go
+++ b/internal/entry/operator_api.go
@@ -202,6 +202,7 @@
 }
 
 func (a *operatorAPI) serveConfirmations(w http.ResponseWriter, r *http.Request) {
+	a.views.refresh(r.Context()) // so that entries replaced lately are known
 	write(w, http.StatusOK, operator.EncodeConfirmations(a.peers.confirmations(r.Context())))
 }
 
--- a/internal/entry/view_keeper.go
+++ b/internal/entry/view_keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,10 @@
 	"github.com/hibiscuspulley/hibiscuspulley/pkg/platform"
 )
 
+// fullReadSteps is how many reads of changed rows lie between two full reads,
+// which also show what was deleted and the sessions of other zones.
+const fullReadSteps = 15
+
 // viewKeeper reads the zone's rows and the instance list. While the platform
 // can't be reached, the last view stays.
 type viewKeeper struct {
@@ -23,12 +28,21 @@
 	health   *platformHealth
 	view     atomic.Pointer[grouping.View]
 
+	turn turn
+	// steps counts the reads since the last full one.
+	steps int
+	// since holds the table's revision at the last read of each prefix.
+	since map[string]int64
+
 	mu      sync.Mutex
 	watcher *membership.Watcher
 }
 
 func newViewKeeper(logger *logrus.Logger, zone string, p *platform.Client, h *platformHealth, t membership.Timing) *viewKeeper {
-	k := &viewKeeper{logger: logger, zone: zone, platform: p, health: h, watcher: membership.NewWatcher(t)}
+	k := &viewKeeper{
+		logger: logger, zone: zone, platform: p, health: h,
+		turn: newTurn(), since: make(map[string]int64), watcher: membership.NewWatcher(t),
+	}
 	k.view.Store(&grouping.View{Zone: zone})
 	return k
 }
@@ -51,18 +65,50 @@
 	return rows
 }
 
-// step reads everything anew. A read that fails leaves the view as it is.
+// step reads what has changed, and now and then everything.
 func (k *viewKeeper) step(ctx context.Context) {
+	if !k.turn.take(ctx) {
+		return
+	}
+	defer k.turn.give()
+	k.steps++
+	if k.steps >= fullReadSteps {
+		k.forget()
+	}
+	k.read(ctx)
+}
+
+// refresh reads everything, after a transaction found another state than the
+// view shows.
+func (k *viewKeeper) refresh(ctx context.Context) {
+	if !k.turn.take(ctx) {
+		return
+	}
+	defer k.turn.give()
+	k.forget()
+	k.read(ctx)
+}
+
+// forget makes the next read a full one.
+func (k *viewKeeper) forget() {
+	k.steps = 0
+	clear(k.since)
+}
+
+// read brings the view up to date. A read that fails leaves it as it is.
+func (k *viewKeeper) read(ctx context.Context) {
 	sentAt := time.Now()
-	sessions, err := k.platform.Range(ctx, membership.KeyPrefix)
+	known := k.current()
+	// Between full reads, only the own zone's sessions matter.
+	sessions, err := readChanged(ctx, k, membership.KeyPrefix, k.zone+"/", known.Sessions, membership.Decode, sessionEntry)
 	if k.health.note(err) != nil {
 		return
 	}
-	groups, err := k.platform.Range(ctx, grouping.GroupPrefix+k.zone+"/")
+	groups, err := readChanged(ctx, k, grouping.GroupPrefix+k.zone+"/", "", known.Groups, grouping.DecodeGroup, groupName)
 	if err != nil {
 		return
 	}
-	assignments, err := k.platform.Range(ctx, grouping.AssignmentPrefix+k.zone+"/")
+	assignments, err := readChanged(ctx, k, grouping.AssignmentPrefix+k.zone+"/", "", known.Assignments, grouping.DecodeAssignment, assignedInstance)
 	if err != nil {
 		return
 	}
@@ -70,14 +116,10 @@
 	if err != nil {
 		return
 	}
-	next := &grouping.View{
-		Zone:        k.zone,
-		Groups:      decodeAll(k, groups, grouping.DecodeGroup, groupName),
-		Assignments: decodeAll(k, assignments, grouping.DecodeAssignment, assignedInstance),
-		Instances:   byInstance(instances),
-		Sessions:    decodeAll(k, sessions, membership.Decode, sessionEntry),
-	}
-	k.store(sentAt, next)
+	k.store(sentAt, &grouping.View{
+		Zone: k.zone, Groups: groups, Assignments: assignments,
+		Instances: byInstance(instances), Sessions: sessions,
+	})
 }
 
 func (k *viewKeeper) store(sentAt time.Time, next *grouping.View) {
@@ -105,17 +147,32 @@
 	return m
 }
 
-// decodeAll decodes rows by name. A row that can't be decoded is logged and
-// passed over, so that it does not hide the others.
-func decodeAll[T any](k *viewKeeper, rows []platform.Row, decode func(platform.Row) (T, error), name func(T) string) map[string]T {
-	decoded := make(map[string]T, len(rows))
+// readChanged returns the known rows with those that have changed since the
+// prefix was read last; part narrows such a read to keys that go on with it. A
+// row that can't be decoded is logged and passed over,
+// so that it does not hide the others.
+func readChanged[T any](ctx context.Context, k *viewKeeper, prefix, part string, known map[string]T, decode func(platform.Row) (T, error), name func(T) string) (map[string]T, error) {
+	since := k.since[prefix]
+	if since == 0 {
+		part = ""
+	}
+	rows, revision, err := k.platform.Changed(ctx, prefix+part, since)
+	if err != nil {
+		k.forget() // so that no change is missed
+		return nil, err
+	}
+	next := make(map[string]T, len(known))
+	if since > 0 {
+		maps.Copy(next, known)
+	}
 	for _, row := range rows {
 		value, err := decode(row)
 		if err != nil {
 			event.RowUnreadable.Log(k.logger, logrus.Fields{"error": err})
 			continue
 		}
-		decoded[name(value)] = value
+		next[name(value)] = value
 	}
-	return decoded
+	k.since[prefix] = revision
+	return next, nil
 }
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -44,7 +45,9 @@
 	reads     *rate.Limiter
 	objects   map[string][]byte
 	instances []InstanceLabels
-	mux       *http.ServeMux
+	// listed counts the versions of the instance list.
+	listed int
+	mux    *http.ServeMux
 }
 
 // InstanceLabels is one entry of the instance list, in the Prometheus HTTP
@@ -100,6 +103,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.instances = list
+	p.listed++
 }
 
 // Counts returns how many calls were answered.
@@ -147,7 +151,8 @@
 	if !readJSON(w, r, &request) {
 		return
 	}
-	writeJSON(w, rowsWire{Rows: p.Table.read(string(request.Key), string(request.RangeEnd))})
+	rows, revision := p.Table.read(string(request.Key), string(request.RangeEnd), request.MinVersion)
+	writeJSON(w, rowsWire{Header: revisionWire{Revision: revision}, Rows: rows})
 }
 
 func (p *Platform) serveTransaction(w http.ResponseWriter, r *http.Request) {
@@ -171,8 +176,13 @@
 		return
 	}
 	p.mu.Lock()
-	list := p.instances
+	list, tag := p.instances, fmt.Sprintf(`"%d"`, p.listed)
 	p.mu.Unlock()
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	if list == nil {
 		list = []InstanceLabels{}
 	}
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -57,15 +57,20 @@
 	return t.rows[key].value
 }
 
-func (t *Table) read(start, end string) []rowWire {
+// read returns the rows of a range that were written at minVersion or later,
+// and the table's revision.
+func (t *Table) read(start, end string, minVersion int64) ([]rowWire, int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	rows := []rowWire{}
 	for _, key := range t.scan(start, end) {
 		row := t.rows[key]
+		if row.version < minVersion {
+			continue
+		}
 		rows = append(rows, rowWire{Key: []byte(key), Value: row.value, Version: row.version})
 	}
-	return rows
+	return rows, t.revision
 }
 
 func (t *Table) commit(txn txnRequestWire) (succeeded bool, revision int64) {
--- a/internal/standin/wire.go
+++ b/internal/standin/wire.go
@@ -13,10 +13,13 @@
 type rangeWire struct {
 	Key      []byte `json:"key"`
 	RangeEnd []byte `json:"range_end"`
+	// MinVersion leaves out the rows that were written before it.
+	MinVersion int64 `json:"min_mod_revision,string"`
 }
 
 type rowsWire struct {
-	Rows []rowWire `json:"kvs"`
+	Header revisionWire `json:"header"`
+	Rows   []rowWire    `json:"kvs"`
 }
 
 type keyValueWire struct {
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -25,6 +25,7 @@
 	timeout      time.Duration
 	httpClient   *http.Client
 	transport    *http.Transport
+	instances    instanceCache
 }
 
 // Option changes a Client under construction.
@@ -75,6 +76,19 @@
 	return c.readRange(ctx, rangeRequestWire{Key: []byte(prefix), RangeEnd: prefixEnd(prefix)})
 }
 
+// Changed returns the rows whose keys begin with prefix and that were written
+// after the table's revision since, and the table's revision now. Rows that
+// were deleted do not show. It fails with ErrUnavailable when the platform
+// does not answer.
+func (c *Client) Changed(ctx context.Context, prefix string, since int64) ([]Row, int64, error) {
+	request := rangeRequestWire{Key: []byte(prefix), RangeEnd: prefixEnd(prefix), MinVersion: since + 1}
+	var response rangeResponseWire
+	if _, err := c.post(ctx, "/v3/kv/range", request, &response); err != nil {
+		return nil, 0, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	return decodeRows(response.Rows), response.Header.Revision, nil
+}
+
 // Between returns the rows whose keys are at least start and below end.
 // It fails with ErrUnavailable when the platform does not answer.
 func (c *Client) Between(ctx context.Context, start, end string) ([]Row, error) {
--- a/pkg/platform/instance.go
+++ b/pkg/platform/instance.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 
 	"github.com/dghubble/sling"
 	"github.com/pkg/errors"
@@ -32,12 +33,39 @@
 	Labels  map[string]string `json:"labels"`
 }
 
-// Instances returns the platform's list of live and leaving instances.
-// It fails with ErrUnavailable when the platform does not answer.
+// instanceCache keeps the last list with its entity tag, so that an unchanged
+// list is not sent again.
+type instanceCache struct {
+	mu   sync.Mutex
+	tag  string
+	list []Instance
+}
+
+// last returns the kept list and its entity tag.
+func (c *instanceCache) last() ([]Instance, string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.list, c.tag
+}
+
+func (c *instanceCache) keep(list []Instance, tag string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.list, c.tag = list, tag
+}
+
+// Instances returns the platform's list of live and leaving instances, which
+// must not be changed. It fails with ErrUnavailable when the platform does not
+// answer.
 func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	request, err := sling.New().Get(c.instancesURL).Request()
+	known, tag := c.instances.last()
+	get := sling.New().Get(c.instancesURL)
+	if tag != "" {
+		get.Set("If-None-Match", tag)
+	}
+	request, err := get.Request()
 	if err != nil {
 		return nil, errors.Wrap(err, "build the request")
 	}
@@ -47,10 +75,16 @@
 		c.retireConnections(ctx)
 		return nil, errors.Wrap(ErrUnavailable, err.Error())
 	}
-	if reply.StatusCode != http.StatusOK {
+	switch reply.StatusCode {
+	case http.StatusNotModified:
+		return known, nil
+	case http.StatusOK:
+		list := decodeInstances(wires)
+		c.instances.keep(list, reply.Header.Get("ETag"))
+		return list, nil
+	default:
 		return nil, errors.Wrap(ErrUnavailable, reply.Status)
 	}
-	return decodeInstances(wires), nil
 }
 
 func decodeInstances(wires []instanceWire) []Instance {
--- a/pkg/platform/wire.go
+++ b/pkg/platform/wire.go
@@ -4,8 +4,9 @@
 // as strings and bytes as base64.
 
 type rangeRequestWire struct {
-	Key      []byte `json:"key"`
-	RangeEnd []byte `json:"range_end,omitempty"`
+	Key        []byte `json:"key"`
+	RangeEnd   []byte `json:"range_end,omitempty"`
+	MinVersion int64  `json:"min_mod_revision,string,omitempty"`
 }
 
 type rowWire struct {
@@ -15,7 +16,8 @@
 }
 
 type rangeResponseWire struct {
-	Rows []rowWire `json:"kvs"`
+	Header headerWire `json:"header"`
+	Rows   []rowWire  `json:"kvs"`
 }
 
 type compareWire struct {
