--- a/internal/command/config/config.go
+++ b/internal/command/config/config.go
@@ -5,6 +5,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/hibiscuspulley/hibiscuspulley/internal/command/factory"
+	"github.com/hibiscuspulley/hibiscuspulley/pkg/operator"
 )
 
 // New adds the noun to the application.
@@ -17,5 +18,6 @@
 	exception := noun.Command("exception", "The exceptions from the defaults, each with its reason.")
 	newExceptionList(exception, f)
 	newExceptionAdd(exception, f)
-	newExceptionRemove(exception, f)
+	factory.NewDelete(exception, f, "remove", operator.KindException, "Remove an exception.",
+		"config exception remove north-peak --reason 'holidays are over'")
 }
--- a/internal/command/config/exception.go
+++ b/internal/command/config/exception.go
@@ -87,15 +87,3 @@
 		},
 	})
 }
-
-func newExceptionRemove(noun *kingpin.CmdClause, f *factory.Factory) {
-	opts := &ExceptionOptions{Factory: f}
-	cmd := noun.Command("remove", "Remove an exception.\n\nExample:\n  hibiscuspulley config exception remove north-peak --reason 'holidays are over'")
-	cmd.Arg("name", "Exception.").Required().StringVar(&opts.Name)
-	cmd.Flag("reason", "Reason that the whole consortium reads.").Required().StringVar(&opts.Reason)
-	cmd.Action(func(*kingpin.ParseContext) error {
-		return f.Action(func(ctx context.Context) error {
-			return f.Delete(ctx, operator.KindException, opts.Name, opts.Reason)
-		})
-	})
-}
--- /dev/null
+++ b/internal/command/factory/delete.go
@@ -0,0 +1,43 @@
+package factory
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/hibiscuspulley/hibiscuspulley/pkg/operator"
+)
+
+// DeleteOptions are the options of the commands that delete an entity.
+type DeleteOptions struct {
+	Factory *Factory
+	Kind    operator.Kind
+	Name    string
+	Reason  string
+}
+
+// NewDelete adds the verb that deletes entities of a kind. The help says what
+// deleting does, the example shows the rest of a command line.
+func NewDelete(noun *kingpin.CmdClause, f *Factory, verb string, kind operator.Kind, help, example string) {
+	opts := &DeleteOptions{Factory: f, Kind: kind}
+	cmd := noun.Command(verb, help+"\n\nExample:\n  hibiscuspulley "+example)
+	cmd.Arg("name", "Name of the "+string(kind)+".").Required().StringVar(&opts.Name)
+	cmd.Flag("reason", "Reason that the whole consortium reads.").Required().StringVar(&opts.Reason)
+	cmd.Action(func(*kingpin.ParseContext) error {
+		return f.Action(func(ctx context.Context) error { return RunDelete(ctx, opts) })
+	})
+}
+
+// RunDelete deletes an entity. It fails when there is none of that name.
+func RunDelete(ctx context.Context, opts *DeleteOptions) error {
+	client, configuration, err := opts.Factory.Read(ctx)
+	if err != nil {
+		return err
+	}
+	if _, err := Entity(configuration, opts.Kind, opts.Name); err != nil {
+		return err
+	}
+	return opts.Factory.Apply(ctx, client, operator.Change{
+		Base: configuration.Revision, Kind: opts.Kind, Name: opts.Name, Deleted: true, Reason: opts.Reason,
+	})
+}
--- a/internal/command/factory/entities.go
+++ b/internal/command/factory/entities.go
@@ -40,20 +40,6 @@
 	return operator.Change{}, errors.Errorf("there is no %s %q; see hibiscuspulley %s list", kind, name, kind)
 }
 
-// Delete deletes an entity, for a reason.
-func (f *Factory) Delete(ctx context.Context, kind operator.Kind, name, reason string) error {
-	client, configuration, err := f.Read(ctx)
-	if err != nil {
-		return err
-	}
-	if _, err := Entity(configuration, kind, name); err != nil {
-		return err
-	}
-	return f.Apply(ctx, client, operator.Change{
-		Base: configuration.Revision, Kind: kind, Name: name, Deleted: true, Reason: reason,
-	})
-}
-
 // Action runs a command's function with a context that ends at an interrupt.
 func (f *Factory) Action(run func(ctx context.Context) error) error {
 	ctx, cancel := f.Context()
--- a/internal/command/organisation/organisation.go
+++ b/internal/command/organisation/organisation.go
@@ -5,6 +5,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/hibiscuspulley/hibiscuspulley/internal/command/factory"
+	"github.com/hibiscuspulley/hibiscuspulley/pkg/operator"
 )
 
 // New adds the noun to the application.
@@ -14,5 +15,5 @@
 	newView(noun, f)
 	newCreate(noun, f)
 	newEdit(noun, f)
-	newDelete(noun, f)
+	factory.NewDelete(noun, f, "delete", operator.KindOrganisation, "Delete an organisation; its keys stop working.", "organisation delete trolley-north --reason 'contract ended'")
 }
--- a/internal/fleet/chaos_test.go
+++ b/internal/fleet/chaos_test.go
@@ -149,8 +149,10 @@
 	return m, client, load.NewCaller(client, fleet.Key(n%c.fleet.Plan.Organisations))
 }
 
-func (c *chaos) request(n int) {
-	m, client, caller := c.caller(n)
+// call makes call number n in the background, from a caller in the zone of the
+// entry that it goes to.
+func (c *chaos) call(n int, do func(ctx context.Context, base string, from *load.Caller)) {
+	m, client, from := c.caller(n)
 	if m == nil {
 		return
 	}
@@ -158,10 +160,14 @@
 		defer client.CloseIdleConnections()
 		ctx, cancel := context.WithTimeout(c.ctx, time.Minute)
 		defer cancel()
+		do(ctx, "http://"+m.CallerAddress, from)
+	})
+}
+
+func (c *chaos) request(n int) {
+	c.call(n, func(ctx context.Context, base string, from *load.Caller) {
 		prompt, tokens := fmt.Sprintf("bay %d", n%7), 10+n%40
-		answer := caller.Generate(ctx, "http://"+m.CallerAddress, load.Request{
-			Model: fleet.ModelName, Prompt: prompt, MaxTokens: tokens,
-		})
+		answer := from.Generate(ctx, base, load.Request{Model: fleet.ModelName, Prompt: prompt, MaxTokens: tokens})
 		exact := !answer.Whole || answer.Text == standin.ExpectedAnswer(prompt, tokens)
 		c.promise(exact, "an answer looked whole and was %q", answer.Text)
 		c.mu.Lock()
@@ -174,16 +180,9 @@
 }
 
 func (c *chaos) record(n int) {
-	m, client, caller := c.caller(n)
-	if m == nil {
-		return
-	}
-	c.background.Go(func() {
-		defer client.CloseIdleConnections()
-		ctx, cancel := context.WithTimeout(c.ctx, time.Minute)
-		defer cancel()
+	c.call(n, func(ctx context.Context, base string, from *load.Caller) {
 		id := fmt.Sprintf("r%d", n)
-		answer := caller.Record(ctx, "http://"+m.CallerAddress, fleet.ServiceName, standin.RecordHeader, id)
+		answer := from.Record(ctx, base, fleet.ServiceName, standin.RecordHeader, id)
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.records[id] = answer
