Provisional orders: zones and instances, also in a zone that is cut off

Change: orders lie over the committed configuration, ride on the exchange, are recorded under their own attempt once the platform is back, and end as soon as their entity has changed in the table since. Ruled out: revisions of a second history, which would have to be merged. Measured: TestAZoneThatIsCutOffTakesOrders (obeyed by the zone's other entry within 3 s, recorded once), TestAnOrderGivesWayToAChangeThatCameFirst, and a property that orders converge. Thinking the property through showed that an ended order could displace one that holds; a unit test fails without the rule.

--- a/internal/command/factory/change.go
+++ b/internal/command/factory/change.go
@@ -20,6 +20,10 @@
 	if err != nil {
 		return err
 	}
+	if accepted.Revision == 0 {
+		fmt.Fprintln(f.Err, "the platform can't be reached: the order holds wherever entries can tell each other, and is recorded later")
+		return f.writeAccepted(accepted, nil)
+	}
 	if !f.Flags.JSON {
 		if _, err := fmt.Fprintf(f.Out, "revision %d accepted\n", accepted.Revision); err != nil {
 			return err
--- a/internal/config/log.go
+++ b/internal/config/log.go
@@ -15,13 +15,17 @@
 type Log struct {
 	mu     sync.Mutex
 	recent []operator.Change
-	state  atomic.Pointer[State]
+	// committed is the state that the platform's table holds; state adds the
+	// provisional orders to it.
+	committed   *State
+	provisional provisionals
+	state       atomic.Pointer[State]
 }
 
 // NewLog returns a Log before the first change.
 func NewLog() *Log {
-	l := &Log{}
-	l.state.Store(NewState())
+	l := &Log{committed: NewState(), provisional: make(provisionals)}
+	l.state.Store(l.committed)
 	return l
 }
 
@@ -30,6 +34,48 @@
 	return l.state.Load()
 }
 
+// Committed returns the configuration that the platform's table holds.
+func (l *Log) Committed() *State {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.committed
+}
+
+// publish puts the committed state with the provisional orders into force.
+func (l *Log) publish() {
+	l.provisional.settle(l.committed)
+	l.state.Store(l.provisional.over(l.committed))
+}
+
+// Provide takes provisional orders over and reports whether any is new.
+func (l *Log) Provide(orders []Provisional) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	changed := false
+	for _, p := range orders {
+		changed = l.provisional.add(p, l.committed) || changed
+	}
+	if changed {
+		l.publish()
+	}
+	return changed
+}
+
+// Order makes a change a provisional order, behind all that are known.
+func (l *Log) Order(c operator.Change) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.provisional.add(Provisional{Number: l.provisional.highest() + 1, Change: c}, l.committed)
+	l.publish()
+}
+
+// Provisional returns the orders that the table does not hold yet.
+func (l *Log) Provisional() []Provisional {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.provisional.list()
+}
+
 // Offer applies the changes that come next and passes over the ones already
 // in force. It returns how many it applied.
 func (l *Log) Offer(changes []operator.Change) int {
@@ -37,14 +83,17 @@
 	defer l.mu.Unlock()
 	applied := 0
 	for _, c := range changes {
-		next, err := l.state.Load().Apply(c)
+		next, err := l.committed.Apply(c)
 		if err != nil {
 			continue
 		}
-		l.state.Store(next)
+		l.committed = next
 		l.keep(c)
 		applied++
 	}
+	if applied > 0 {
+		l.publish()
+	}
 	return applied
 }
 
@@ -53,11 +102,12 @@
 func (l *Log) Adopt(s *State) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if s.Revision() <= l.state.Load().Revision() {
+	if s.Revision() <= l.committed.Revision() {
 		return false
 	}
-	l.state.Store(s)
+	l.committed = s
 	l.recent = nil
+	l.publish()
 	return true
 }
 
@@ -66,7 +116,7 @@
 func (l *Log) After(revision uint64) ([]operator.Change, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.state.Load().Revision()
+	now := l.committed.Revision()
 	if revision >= now {
 		return nil, true
 	}
--- a/internal/config/property_test.go
+++ b/internal/config/property_test.go
@@ -106,3 +106,64 @@
 	}
 	require.Len(t, config.NewState().Check(exception), 2, "no reason and no such organisation")
 }
+
+// TestPromiseOrdersConvergeAndGiveWay: provisional orders that spread in any
+// order leave all entries with the same view, never touch the revision, and
+// end when the table holds a later change of the same entity.
+func TestPromiseOrdersConvergeAndGiveWay(t *testing.T) {
+	const revisions = 12
+	changes := history(revisions)
+	rapid.Check(t, func(rt *rapid.T) {
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 0))
+		logs := []*config.Log{config.NewLog(), config.NewLog(), config.NewLog()}
+		for i := range 40 {
+			l := logs[rng.IntN(len(logs))]
+			before := l.State().Revision()
+			switch rng.IntN(3) {
+			case 0:
+				name := fmt.Sprintf("z%d", rng.IntN(3))
+				l.Order(operator.Change{
+					Base: l.Committed().Revision(), Attempt: fmt.Sprint(i), Kind: operator.KindZone, Name: name,
+					Zone: &operator.Zone{Name: name, Out: rng.IntN(2) == 0},
+				})
+			case 1:
+				l.Provide(logs[rng.IntN(len(logs))].Provisional())
+			default:
+				l.Offer(changes[:rng.IntN(revisions-3)])
+				continue
+			}
+			require.Equal(rt, before, l.State().Revision())
+		}
+		for range 2 {
+			for _, l := range logs {
+				l.Offer(changes[:revisions-3])
+				for _, other := range logs {
+					l.Provide(other.Provisional())
+				}
+			}
+		}
+		for _, l := range logs[1:] {
+			require.Equal(rt, logs[0].State().Zones(), l.State().Zones())
+		}
+		for _, l := range logs {
+			l.Offer(changes)
+			require.Empty(rt, l.Provisional(), "every zone has changed since")
+			require.Equal(rt, at(rt, changes, revisions).Zones(), l.State().Zones())
+		}
+	})
+}
+
+func TestAnOrderThatHasEndedDisplacesNone(t *testing.T) {
+	l := config.NewLog()
+	l.Offer(history(1))
+	order := func(number, base uint64, out bool) config.Provisional {
+		return config.Provisional{Number: number, Change: operator.Change{
+			Base: base, Kind: operator.KindZone, Name: "z0", Zone: &operator.Zone{Name: "z0", Out: out},
+		}}
+	}
+	require.True(t, l.Provide([]config.Provisional{order(1, 1, false)}))
+	require.False(t, l.State().ZoneOut("z0"))
+	require.False(t, l.Provide([]config.Provisional{order(2, 0, true)}))
+	require.False(t, l.State().ZoneOut("z0"))
+	require.Len(t, l.Provisional(), 1)
+}
--- a/internal/entry/configurer.go
+++ b/internal/entry/configurer.go
@@ -34,8 +34,38 @@
 }
 
 // step reads what the platform's table holds beyond the revision in force.
+// With the platform back, it records the provisional orders.
 func (c *configurer) step(ctx context.Context) {
-	_, _ = c.refresh(ctx)
+	if _, err := c.refresh(ctx); err != nil {
+		return
+	}
+	for _, p := range c.log.Provisional() {
+		_, conflict, err := c.commit(ctx, p.Change)
+		if err == nil && conflict == nil {
+			event.OrderRecorded.Log(c.logger, logrus.Fields{"kind": p.Change.Kind, "name": p.Change.Name})
+		}
+	}
+}
+
+// order accepts a change as a provisional order, if it may be one.
+func (c *configurer) order(change operator.Change) bool {
+	if !config.CanBeProvisional(change) {
+		return false
+	}
+	change.Attempt = newIdentifier()
+	change.At = time.Now().UTC()
+	change.Base = c.log.Committed().Revision()
+	c.log.Order(change)
+	event.OrderProvisional.Log(c.logger, logrus.Fields{"kind": change.Kind, "name": change.Name})
+	c.onChange()
+	return true
+}
+
+// provide takes over provisional orders that a peer knows.
+func (c *configurer) provide(orders []config.Provisional) {
+	if c.log.Provide(orders) {
+		c.onChange()
+	}
 }
 
 // refresh brings the configuration up to the table's head and returns the
@@ -115,13 +145,15 @@
 // commit makes the change the next revision. It returns the accepted change,
 // or the change that conflicts with it.
 func (c *configurer) commit(ctx context.Context, change operator.Change) (accepted operator.Change, conflict *operator.Change, err error) {
-	change.Attempt = newIdentifier()
+	if change.Attempt == "" {
+		change.Attempt = newIdentifier()
+	}
 	for range commitTries {
 		version, err := c.refresh(ctx)
 		if err != nil {
 			return operator.Change{}, nil, err
 		}
-		state := c.log.State()
+		state := c.log.Committed()
 		if written, found := state.LastChange(change.Kind, change.Name); found && written.Attempt == change.Attempt {
 			return written, nil, nil // the answer to an earlier try was lost
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -220,7 +220,9 @@
 		revision:   func() uint64 { return e.config.State().Revision() },
 		demands:    e.router.demands,
 		grantLocal: e.watches.ask, usage: e.router.takeUsage,
-		pull: e.configure.takePull, granted: e.router.pump,
+		orders:  func() []peer.Order { return ordersFor(e.config.Provisional()) },
+		provide: func(orders []peer.Order) { e.configure.provide(ordersFrom(orders)) },
+		pull:    e.configure.takePull, granted: e.router.pump,
 		links: make(map[string]*peerState),
 	}
 	e.exchange = peer.NewServer(peerKey, e.answerPeer, func(address string) {
@@ -300,9 +302,11 @@
 
 func (e *Entry) answerExchange(message peer.Exchange) *peer.ExchangeReply {
 	e.router.noteUsage(message.Usage)
+	e.configure.provide(ordersFrom(message.Orders))
 	reply := &peer.ExchangeReply{
 		Entry: e.settings.Name, Zone: e.settings.Zone,
 		Revision: e.config.State().Revision(), Ready: e.Ready(),
+		Orders: ordersFor(e.config.Provisional()),
 	}
 	now := time.Now()
 	for _, d := range message.Demands {
--- a/internal/entry/operator_api.go
+++ b/internal/entry/operator_api.go
@@ -128,6 +128,8 @@
 		write(w, http.StatusConflict, operator.EncodeProblem(&operator.Problem{
 			Message: "another change came first; read the configuration again and decide anew", Conflict: conflict,
 		}))
+	case err != nil && !a.health.reachable() && a.configurer.order(change):
+		write(w, http.StatusOK, operator.EncodeChange(change))
 	case err != nil:
 		writeProblem(w, http.StatusServiceUnavailable, "the change was not accepted: "+err.Error())
 	default:
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -56,6 +56,10 @@
 	grantLocal func(now time.Time, d permit.Demand) (permit.Grant, bool)
 	// usage returns and resets what organisations were served.
 	usage func() []peer.Usage
+	// orders returns the provisional orders known here; provide takes over
+	// those that a peer knows.
+	orders  func() []peer.Order
+	provide func([]peer.Order)
 	// pull takes over configuration from a peer that is ahead.
 	pull func(peer.ConfigReply)
 	// granted runs after new grants were taken over.
@@ -143,6 +147,7 @@
 	for _, state := range p.connected() {
 		message := peer.Exchange{
 			Entry: p.identity.Entry, Zone: p.identity.Zone, Revision: p.revision(),
+			Orders: p.orders(),
 		}
 		if state.zone == p.identity.Zone {
 			message.Demands = demands[state.entry]
@@ -205,6 +210,7 @@
 	state.ready = answer.Ready
 	state.heard = time.Now()
 	p.mu.Unlock()
+	p.provide(answer.Orders)
 	for _, grant := range answer.Grants {
 		p.permits.Apply(askedAt, grant)
 	}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -37,6 +37,8 @@
 	ConfigFromPeer   = Event{602, logrus.InfoLevel, "configuration read from a peer"}
 	ConfigSnapshot   = Event{603, logrus.InfoLevel, "configuration snapshot stored"}
 	SnapshotFailed   = Event{604, logrus.WarnLevel, "configuration snapshot not stored"}
+	OrderProvisional = Event{605, logrus.WarnLevel, "order holds provisionally: the platform can't be reached"}
+	OrderRecorded    = Event{606, logrus.InfoLevel, "provisional order recorded in the table"}
 	ListenerFailed   = Event{103, logrus.ErrorLevel, "listener failed"}
 	HandlerPanicked  = Event{104, logrus.ErrorLevel, "handler panicked"}
 	ShutdownTimedOut = Event{105, logrus.WarnLevel, "requests in progress were cut at the shutdown timeout"}
@@ -52,5 +54,6 @@
 		GroupReformed, GroupReleased, OrderFailed, GroupSuperseded, InstanceFreed, GroupHandedOver,
 		StreamResumed, AnswerRejected, RequestFailed,
 		ConfigApplied, ConfigRejected, ConfigFromPeer, ConfigSnapshot, SnapshotFailed,
+		OrderProvisional, OrderRecorded,
 	}
 }
--- a/internal/fleet/focused_test.go
+++ b/internal/fleet/focused_test.go
@@ -265,3 +265,78 @@
 		require.Equal(t, 2, openGroups(ctx, t, f, f.Entries()[0]))
 	})
 }
+
+func TestAZoneThatIsCutOffTakesOrders(t *testing.T) {
+	plan := fleet.DefaultPlan()
+	plan.LogLevel = "fatal"
+	inFleet(t, plan, func(ctx context.Context, t *testing.T, f *fleet.Fleet) {
+		for _, other := range []string{"b", "c", fleet.PlatformZone} {
+			f.Network.Cut("a", other)
+		}
+		time.Sleep(5 * time.Second)
+		before := f.Entries()[0].Entry.Revision()
+		drained := leaders(f)[0]
+		require.Equal(t, "a", drained.Zone)
+		accepted, err := f.Operator(f.Entries()[0]).Apply(ctx, operator.Change{
+			Author: "ann", Kind: operator.KindInstance, Name: drained.Name,
+			Instance: &operator.Instance{Name: drained.Name, Drained: true},
+		})
+		require.NoError(t, err)
+		require.Zero(t, accepted.Revision)
+		drained.Engine.SetLeaving(true)
+		time.Sleep(3 * time.Second)
+		require.Equal(t, 3, openGroups(ctx, t, f, f.Entries()[1]), "the other entry of the zone obeys")
+		require.Positive(t, flood(ctx, f, 50*time.Millisecond, 3*time.Second))
+		require.Zero(t, f.Counts().SentToLeaving)
+		require.Equal(t, before, f.Entries()[0].Entry.Revision())
+		for _, other := range []string{"b", "c", fleet.PlatformZone} {
+			f.Network.Heal("a", other)
+		}
+		time.Sleep(10 * time.Second)
+		for _, m := range f.Entries() {
+			require.Equal(t, before+1, m.Entry.Revision(), "the order is recorded once, everywhere")
+			instances, err := f.Operator(m).Instances(ctx)
+			require.NoError(t, err)
+			for _, i := range instances {
+				require.Equal(t, i.Name == drained.Name, i.Drained, i.Name)
+			}
+		}
+	})
+}
+
+func TestAnOrderGivesWayToAChangeThatCameFirst(t *testing.T) {
+	plan := fleet.DefaultPlan()
+	plan.LogLevel = "fatal"
+	inFleet(t, plan, func(ctx context.Context, t *testing.T, f *fleet.Fleet) {
+		for _, other := range []string{"b", "c", fleet.PlatformZone} {
+			f.Network.Cut("a", other)
+		}
+		time.Sleep(5 * time.Second)
+		outside := f.Entries()[2]
+		require.Equal(t, "b", outside.Zone)
+		change := func(author string, out bool) operator.Change {
+			return operator.Change{
+				Author: author, Reason: "r", Kind: operator.KindZone, Name: "a", Zone: &operator.Zone{Name: "a", Out: out},
+			}
+		}
+		_, err := f.Operator(f.Entries()[0]).Apply(ctx, change("inside", true))
+		require.NoError(t, err)
+		accepted, err := f.Operator(outside).Apply(ctx, change("outside", false))
+		require.NoError(t, err)
+		for _, other := range []string{"b", "c", fleet.PlatformZone} {
+			f.Network.Heal("a", other)
+		}
+		time.Sleep(10 * time.Second)
+		for _, m := range f.Entries() {
+			require.Equal(t, accepted.Revision, m.Entry.Revision(), m.Name)
+			configuration, err := f.Operator(m).Configuration(ctx)
+			require.NoError(t, err)
+			for _, c := range configuration.Changes {
+				if c.Kind == operator.KindZone {
+					require.Equal(t, "outside", c.Author)
+				}
+			}
+		}
+		require.Equal(t, 4, openGroups(ctx, t, f, f.Entries()[0]), "zone a is in")
+	})
+}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -14,6 +14,15 @@
 	Demands []permit.Demand
 	// Usage lists the tokens that the sender served since its last exchange.
 	Usage []Usage
+	// Orders lists the provisional orders that the sender knows.
+	Orders []Order
+}
+
+// Order is an order that the platform's table does not hold yet.
+type Order struct {
+	Number uint64
+	// Change is the encoded change.
+	Change []byte
 }
 
 // Usage is what an organisation was served of one service.
@@ -31,6 +40,7 @@
 	// Ready says that the peer takes callers' requests.
 	Ready  bool
 	Grants []permit.Grant
+	Orders []Order
 }
 
 // ConfigPull asks for the configuration changes behind a revision.
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -35,12 +35,18 @@
 	Tokens       int64  `cbor:"3,keyasint"`
 }
 
+type orderWire struct {
+	Number uint64 `cbor:"1,keyasint"`
+	Change []byte `cbor:"2,keyasint"`
+}
+
 type exchangeWire struct {
 	Entry    string       `cbor:"1,keyasint"`
 	Zone     string       `cbor:"2,keyasint"`
 	Revision uint64       `cbor:"3,keyasint"`
 	Demands  []demandWire `cbor:"4,keyasint,omitempty"`
 	Usage    []usageWire  `cbor:"5,keyasint,omitempty"`
+	Orders   []orderWire  `cbor:"6,keyasint,omitempty"`
 }
 
 type exchangeReplyWire struct {
@@ -49,6 +55,7 @@
 	Grants   []grantWire `cbor:"3,keyasint,omitempty"`
 	Entry    string      `cbor:"4,keyasint"`
 	Zone     string      `cbor:"5,keyasint"`
+	Orders   []orderWire `cbor:"6,keyasint,omitempty"`
 }
 
 type configPullWire struct {
@@ -159,7 +166,7 @@
 }
 
 func exchangeToWire(e Exchange) *exchangeWire {
-	w := &exchangeWire{Entry: e.Entry, Zone: e.Zone, Revision: e.Revision}
+	w := &exchangeWire{Entry: e.Entry, Zone: e.Zone, Revision: e.Revision, Orders: ordersToWire(e.Orders)}
 	for _, d := range e.Demands {
 		w.Demands = append(w.Demands, demandWire{
 			Group: d.Group, Want: d.Want, InFlight: d.InFlight, Applied: d.Applied,
@@ -174,7 +181,7 @@
 }
 
 func exchangeFromWire(w exchangeWire) *Exchange {
-	e := &Exchange{Entry: w.Entry, Zone: w.Zone, Revision: w.Revision}
+	e := &Exchange{Entry: w.Entry, Zone: w.Zone, Revision: w.Revision, Orders: ordersFromWire(w.Orders)}
 	for _, d := range w.Demands {
 		e.Demands = append(e.Demands, permit.Demand{
 			Entry: w.Entry, Group: d.Group, Want: d.Want, InFlight: d.InFlight, Applied: d.Applied,
@@ -189,7 +196,9 @@
 }
 
 func exchangeReplyToWire(r ExchangeReply) *exchangeReplyWire {
-	w := &exchangeReplyWire{Entry: r.Entry, Zone: r.Zone, Revision: r.Revision, Ready: r.Ready}
+	w := &exchangeReplyWire{
+		Entry: r.Entry, Zone: r.Zone, Revision: r.Revision, Ready: r.Ready, Orders: ordersToWire(r.Orders),
+	}
 	for _, g := range r.Grants {
 		w.Grants = append(w.Grants, grantWire{
 			Group: g.Group, Generation: g.Generation, Leader: g.Leader, Seq: g.Seq,
@@ -200,7 +209,9 @@
 }
 
 func exchangeReplyFromWire(w exchangeReplyWire) *ExchangeReply {
-	r := &ExchangeReply{Entry: w.Entry, Zone: w.Zone, Revision: w.Revision, Ready: w.Ready}
+	r := &ExchangeReply{
+		Entry: w.Entry, Zone: w.Zone, Revision: w.Revision, Ready: w.Ready, Orders: ordersFromWire(w.Orders),
+	}
 	for _, g := range w.Grants {
 		r.Grants = append(r.Grants, permit.Grant{
 			Group: g.Group, Generation: g.Generation, Leader: g.Leader, Seq: g.Seq,
@@ -209,3 +220,19 @@
 	}
 	return r
 }
+
+func ordersToWire(orders []Order) []orderWire {
+	var wires []orderWire
+	for _, o := range orders {
+		wires = append(wires, orderWire{Number: o.Number, Change: o.Change})
+	}
+	return wires
+}
+
+func ordersFromWire(wires []orderWire) []Order {
+	var orders []Order
+	for _, w := range wires {
+		orders = append(orders, Order{Number: w.Number, Change: w.Change})
+	}
+	return orders
+}
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -62,8 +62,9 @@
 	return configuration.Changes, err
 }
 
-// Apply asks the entry to accept a change and returns it as accepted. It
-// fails with a *Problem that holds the conflicting change when another
+// Apply asks the entry to accept a change and returns it as accepted. Without
+// the platform, an order about a zone or an instance is accepted provisionally:
+// its Revision is 0, and it holds wherever word of it arrives. Apply fails with a *Problem that holds the conflicting change when another
 // operator was faster.
 func (c *Client) Apply(ctx context.Context, change Change) (Change, error) {
 	body, err := c.call(ctx, c.request().Post("/config/changes"), EncodeChange(change))
