--- /dev/null
+++ b/internal/admission/queue_test.go
@@ -0,0 +1,125 @@
+package admission_test
+
+import (
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/admission"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/seeded"
+)
+
+func TestMain(m *testing.M) { os.Exit(seeded.Main(m, 300)) }
+
+// capacity lets so many waiters start and notes whose they were.
+type capacity struct {
+	free    int
+	started []string
+}
+
+func (c *capacity) waiter(organisation string, weight int, cost float64) *admission.Waiter {
+	return &admission.Waiter{
+		Organisation: organisation, Weight: weight, Cost: cost,
+		Try: func(time.Time) bool {
+			if c.free == 0 {
+				return false
+			}
+			c.free--
+			c.started = append(c.started, organisation)
+			return true
+		},
+		Shed: func() {},
+	}
+}
+
+func count(list []string, name string) int {
+	n := 0
+	for _, s := range list {
+		if s == name {
+			n++
+		}
+	}
+	return n
+}
+
+// TestOrganisationsShareByWeight: however many requests a large organisation
+// has waiting, a small one gets its share of the tokens served.
+func TestOrganisationsShareByWeight(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 0))
+		weight := 1 + rng.IntN(4)
+		cost := float64(10 + rng.IntN(100))
+		q := admission.NewQueue(10_000)
+		c := &capacity{}
+		for range 600 {
+			require.NoError(rt, q.Push(c.waiter("large", 1, cost)))
+		}
+		for range 300 {
+			require.NoError(rt, q.Push(c.waiter("small", weight, cost)))
+		}
+		for range 60 {
+			c.free = 1 + rng.IntN(4)
+			q.Pump(time.Time{})
+		}
+		large, small := count(c.started, "large"), count(c.started, "small")
+		require.InDelta(rt, weight*large, small, float64(weight+1))
+	})
+}
+
+func TestAFloodCannotFillTheQueue(t *testing.T) {
+	q := admission.NewQueue(10)
+	c := &capacity{}
+	shed := 0
+	for range 10 {
+		w := c.waiter("large", 1, 1)
+		w.Shed = func() { shed++ }
+		require.NoError(t, q.Push(w))
+	}
+	require.ErrorIs(t, q.Push(c.waiter("large", 1, 1)), admission.ErrFull)
+	for range 5 {
+		require.NoError(t, q.Push(c.waiter("small", 1, 1)))
+	}
+	require.Equal(t, 5, shed)
+	require.Equal(t, 10, q.Length())
+	require.ErrorIs(t, q.Push(c.waiter("small", 1, 1)), admission.ErrFull)
+}
+
+func TestASilenceEarnsNoCredit(t *testing.T) {
+	q := admission.NewQueue(100)
+	c := &capacity{free: 20}
+	for range 20 {
+		require.NoError(t, q.Push(c.waiter("busy", 1, 100)))
+	}
+	q.Pump(time.Time{})
+	for range 10 {
+		require.NoError(t, q.Push(c.waiter("busy", 1, 100)))
+		require.NoError(t, q.Push(c.waiter("back", 1, 100)))
+	}
+	c.free, c.started = 10, nil
+	q.Pump(time.Time{})
+	require.InDelta(t, 5, count(c.started, "back"), 1)
+}
+
+func TestRetriesAndPrioritiesGoFirst(t *testing.T) {
+	q := admission.NewQueue(100)
+	var order []string
+	push := func(name string, priority int, retry bool) {
+		require.NoError(t, q.Push(&admission.Waiter{
+			Organisation: "o", Weight: 1, Priority: priority, Retry: retry,
+			Try: func(time.Time) bool {
+				order = append(order, name)
+				return true
+			},
+		}))
+	}
+	push("late", 5, false)
+	push("first", 0, false)
+	push("second", 0, false)
+	push("retry", 9, true)
+	q.Pump(time.Time{})
+	require.Equal(t, []string{"retry", "first", "second", "late"}, order)
+}
