--- /dev/null
+++ b/internal/entry/build.go
@@ -0,0 +1,145 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/admission"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/burn"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/config"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/event"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/grouping"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/membership"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/peer"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/permit"
+	"github.com/hibiscuspulley/hibiscuspulley/pkg/engine"
+	"github.com/hibiscuspulley/hibiscuspulley/pkg/platform"
+)
+
+// identity returns this run of the process as a session without an epoch.
+func (e *Entry) identity() membership.Session {
+	address := e.settings.Peer.Advertise
+	if address == "" {
+		address = e.peerListener.address()
+	}
+	return membership.Session{
+		Entry: e.settings.Name, Zone: e.settings.Zone, Address: address, Incarnation: newIdentifier(),
+	}
+}
+
+// build connects the parts.
+func (e *Entry) build(o options, operatorKey, peerKey string) {
+	identity := e.identity()
+	e.buildState(o, identity)
+	e.buildGroups(o, identity)
+	e.buildPeers(o, identity, peerKey)
+	e.buildCallers(o, peerKey)
+	e.operators = &operatorAPI{
+		key: operatorKey, identity: identity, config: e.config, configurer: e.configure,
+		platform: e.platform, health: e.health, holder: e.holder, views: e.views,
+		watches: e.watches, permits: e.permits, peers: e.peers, counts: e.callers.counts,
+		burn:  e.callers.burn,
+		ready: e.Ready,
+	}
+}
+
+func (e *Entry) buildState(o options, identity membership.Session) {
+	p := e.settings.Platform
+	e.platform = platform.NewClient(p.TableURL,
+		platform.WithObjects(p.ObjectsURL), platform.WithInstances(p.InstancesURL),
+		platform.WithTimeout(p.Timeout), platform.WithDial(o.dial))
+	e.engines = engine.NewClient(engine.WithDial(o.dial), engine.WithTLS(peerTLS()))
+	e.health = &platformHealth{logger: e.logger}
+	e.config = config.NewLog()
+	e.holder = membership.NewHolder(identity, o.timing)
+	e.permits = permit.NewHolder()
+	e.views = newViewKeeper(e.logger, e.settings.Zone, e.platform, e.health, o.timing)
+	e.configure = &configurer{
+		logger: e.logger, platform: e.platform, health: e.health, log: e.config,
+		onChange: e.configChanged, turn: newTurn(),
+	}
+	e.session = &sessionKeeper{
+		logger: e.logger, platform: e.platform, health: e.health, holder: e.holder,
+		timing: o.timing, identity: identity, turn: newTurn(),
+		relay: func(ctx context.Context, r peer.Relay) (peer.RelayReply, bool) {
+			return e.peers.relay(ctx, r)
+		},
+	}
+}
+
+func (e *Entry) buildGroups(o options, identity membership.Session) {
+	e.groups = &groupKeeper{
+		logger: e.logger, zone: e.settings.Zone, platform: e.platform, health: e.health,
+		config: e.config, holder: e.holder, views: e.views,
+		planner: o.planner(grouping.Weights{
+			Downtime: e.settings.Grouping.DowntimeWeight,
+			Stranded: e.settings.Grouping.StrandedWeight,
+			Spares:   e.settings.Grouping.SparesPerDomain,
+		}),
+		quarantine: o.timing.Term + orderTimeout,
+		suspects:   make(map[string]time.Time),
+		turn:       newTurn(),
+	}
+	seams := watchSeams{
+		logger: e.logger, engines: e.engines, config: e.config,
+		owns:    e.groups.owns,
+		leaving: func(instance string) bool { return e.views.current().Instances[instance].Leaving },
+		revoke:  e.revoke,
+	}
+	e.watches = newWatches(identity.Entry, seams, e.views.current)
+	e.groups.watches = e.watches
+}
+
+func (e *Entry) buildPeers(o options, identity membership.Session, peerKey string) {
+	scheme, httpScheme := "ws", "http"
+	if e.settings.Peer.CertificateFile != "" {
+		scheme, httpScheme = "wss", "https"
+	}
+	transport := o.plainTransport()
+	transport.TLSClientConfig = peerTLS()
+	e.router = &router{
+		zone: e.settings.Zone, queueLimit: e.settings.Limits.QueueLength, config: e.config,
+		view: e.views.current, permits: e.permits,
+		peerHeader: http.Header{"Authorization": {"Bearer " + peerKey}}, peerScheme: httpScheme,
+		moreCredits: newKicker(),
+		otherZones:  func(out func(string) bool) []string { return e.peers.otherZones(out) },
+		queues:      make(map[string]*admission.Queue), inFlight: make(map[string]int),
+		usage: make(map[usageKey]int64),
+	}
+	e.peers = &peers{
+		logger: e.logger, identity: identity, key: peerKey, scheme: scheme,
+		seeds: e.settings.Seeds, client: &http.Client{Transport: transport},
+		view: e.views.current, permits: e.permits,
+		revision:   func() uint64 { return e.config.State().Revision() },
+		demands:    e.router.demands,
+		grantLocal: e.watches.ask, usage: e.router.takeUsage,
+		orders:  func() []peer.Order { return ordersFor(e.config.Provisional()) },
+		provide: func(orders []peer.Order) { e.configure.provide(ordersFrom(orders)) },
+		pull:    e.configure.takePull, granted: e.router.pump,
+		links: make(map[string]*peerState),
+	}
+	e.exchange = peer.NewServer(peerKey, e.answerPeer, func(address string) {
+		event.PeerRefused.Log(e.logger, logrus.Fields{"address": address})
+	})
+}
+
+// peerTLS returns the TLS settings towards peers. The peer key, which both
+// sides hold, admits; certificates encrypt, and are often made by hand.
+func peerTLS() *tls.Config {
+	return &tls.Config{MinVersion: tls.VersionTLS12}
+}
+
+func (e *Entry) buildCallers(o options, peerKey string) {
+	b := newBudgets()
+	e.plain = newPlainProxy(e.settings.Zone, e.config, e.views.current, b, o)
+	e.callers = &callerAPI{
+		logger: e.logger, config: e.config, limits: e.settings.Limits, engines: e.engines,
+		router: e.router, plain: e.plain, budgets: b, counts: newCounts(),
+		burn:    &burnGatherer{zone: e.settings.Zone, recorder: burn.NewRecorder(), peers: e.peers},
+		peerKey: peerKey, ready: e.Ready,
+	}
+}
--- a/internal/processfleet/fleet.go
+++ b/internal/processfleet/fleet.go
@@ -9,14 +9,11 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
-	"strings"
-	"time"
 
 	"github.com/dghubble/sling"
 	"github.com/pkg/errors"
 
 	"github.com/hibiscuspulley/hibiscuspulley/internal/standin"
-	"github.com/hibiscuspulley/hibiscuspulley/pkg/operator"
 )
 
 const (
@@ -116,15 +113,6 @@
 
 func (f *Fleet) path(name string) string { return filepath.Join(f.directory, name) }
 
-func (f *Fleet) writeKeys() error {
-	for name, key := range map[string]string{"operator.key": operatorKey, "peer.key": peerKey, "caller.key": CallerKey} {
-		if err := os.WriteFile(f.path(name), []byte(key), 0o600); err != nil {
-			return errors.Wrap(err, "write a key")
-		}
-	}
-	return nil
-}
-
 func (f *Fleet) startStandIns(ctx context.Context) error {
 	var err error
 	if f.Platform, err = f.startStandIn(ctx, "platform", "", "", "platform", "--address", "127.0.0.1:0"); err != nil {
@@ -246,90 +234,6 @@
 	return e, nil
 }
 
-func (f *Fleet) settings(name, zone string) string {
-	text := `{
-	"name": "NAME", "zone": "ZONE",
-	"caller": {"address": "127.0.0.1:0"},
-	"operator": {"address": "127.0.0.1:0", "key-file": "DIRECTORY/operator.key"},
-	"peer": {"address": "127.0.0.1:0", "key-file": "DIRECTORY/peer.key"},
-	"platform": {
-		"table-url": "http://PLATFORM", "objects-url": "http://PLATFORM/objects",
-		"instances-url": "http://PLATFORM/instances", "timeout": "1s",
-	},
-}`
-	return strings.NewReplacer("NAME", name, "ZONE", zone, "DIRECTORY", f.directory, "PLATFORM", f.Platform.Address).Replace(text)
-}
-
-// Client returns a client of an entry's operators' API.
-func (f *Fleet) Client(e *Entry) *operator.Client {
-	return operator.NewClient(e.Operator, operatorKey)
-}
-
-func (f *Fleet) configure(ctx context.Context) error {
-	model := &operator.Service{
-		Name: Model, Kind: operator.ModelService, GroupSize: f.Plan.GroupSize,
-		Slots: f.Plan.Slots, ColdLimit: f.Plan.ColdLimit,
-	}
-	for _, zone := range f.Plan.Zones {
-		model.Groups = append(model.Groups, operator.ZoneGroups{Zone: zone, Count: f.Plan.GroupsPerZone})
-	}
-	client := f.Client(f.Entries[0])
-	for _, change := range []operator.Change{
-		{Kind: operator.KindService, Name: Model, Service: model},
-		{Kind: operator.KindService, Name: Service, Service: &operator.Service{Name: Service, Kind: operator.PlainService}},
-		{Kind: operator.KindOrganisation, Name: "tester", Organisation: &operator.Organisation{
-			Name: "tester", KeyHashes: []string{operator.HashKey(CallerKey)},
-		}},
-	} {
-		change.Author = "tests"
-		if _, err := client.Apply(ctx, change); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// pollStep is how often a condition is looked at.
-const pollStep = 50 * time.Millisecond
-
-// WaitUntil waits until the condition holds, or fails when ctx ends first.
-func WaitUntil(ctx context.Context, what string, holds func() bool) error {
-	for !holds() {
-		select {
-		case <-ctx.Done():
-			return errors.Errorf("waited in vain for: %s", what)
-		case <-time.After(pollStep):
-		}
-	}
-	return nil
-}
-
-// WaitOpen waits until every running entry holds warm permits for all groups.
-func (f *Fleet) WaitOpen(ctx context.Context) error {
-	for _, e := range f.Entries {
-		err := WaitUntil(ctx, "open groups at "+e.Name, func() bool { return f.open(ctx, e) == f.Plan.GroupsPerZone })
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// open counts the groups for which the entry holds a warm permit.
-func (f *Fleet) open(ctx context.Context, e *Entry) int {
-	status, err := f.Client(e).Status(ctx)
-	if err != nil {
-		return -1
-	}
-	open := 0
-	for _, g := range status.Groups {
-		if g.Valid && !g.Cold {
-			open++
-		}
-	}
-	return open
-}
-
 // Remove forgets an entry whose process has ended.
 func (f *Fleet) Remove(e *Entry) {
 	for i, other := range f.Entries {
