Stand-in engine: a slot is free before the end or a cancellation shows

The stand-in freed the slot of a cancelled answer only at its next token, and of a finished one after its end had gone out, so that a request sent right after either was counted against the limit although the engine had let go. Ruled out: two lenders (the other entry gets no credits, which a mutation shows). Change: the slot is given back before the end or the confirmation shows. Tests: TestAnEngineHasLetGoWhenItConfirmsACancellation was red before.

--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -222,6 +222,7 @@
 	if g.run == caller.NotRun {
 		g.run = caller.MayHaveRun
 	}
+	g.out.open()
 	var pace pacer
 	for {
 		data, err := stream.Next()
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -20,6 +20,8 @@
 
 // sink delivers an answer to the caller.
 type sink struct {
+	// open tells the caller that a backend server has taken the request on.
+	open func()
 	// event delivers one event's data.
 	event func(data []byte, c chunk) error
 	// flush sends what was delivered.
@@ -59,6 +61,7 @@
 		w: w, control: http.NewResponseController(w), writeTimeout: writeTimeout, id: id,
 	}
 	return sink{
+		open:    s.open,
 		event:   func(data []byte, _ chunk) error { return s.event(data) },
 		flush:   s.flush,
 		end:     func(*generation) error { return s.end() },
@@ -68,6 +71,18 @@
 	}
 }
 
+// open sends the reply's header ahead of the first event, so that the caller
+// is ready for it when it comes.
+func (s *streamWriter) open() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.begun {
+		return
+	}
+	s.begin()
+	_ = s.control.Flush() // a caller that has left shows at the first event
+}
+
 func (s *streamWriter) event(data []byte) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -173,6 +188,7 @@
 	var text strings.Builder
 	finish := ""
 	return sink{
+		open: func() {},
 		event: func(_ []byte, c chunk) error {
 			text.WriteString(c.text)
 			if c.finish != "" {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -189,6 +189,7 @@
 	e.mu.Unlock()
 	if s != nil {
 		s.stop()
+		s.giveSlot()
 	}
 }
 
--- a/internal/standin/engine_generate.go
+++ b/internal/standin/engine_generate.go
@@ -89,7 +89,8 @@
 // produce generates the answer's tokens at the engine's speed.
 func (e *Engine) produce(s *engineStream, prompt string) {
 	e.takeSlot()
-	defer e.releaseSlot()
+	s.holdSlot(e.releaseSlot)
+	defer s.giveSlot()
 	time.Sleep(e.prefill(prompt))
 	for !s.over() {
 		interval, blocked := e.pace()
--- a/internal/standin/engine_stream.go
+++ b/internal/standin/engine_stream.go
@@ -24,6 +24,8 @@
 	changed  chan struct{}
 	attached int
 	detached time.Time
+	// release gives the engine's slot back, once.
+	release func()
 }
 
 func newEngineStream(id string, request generateWire, chat bool) *engineStream {
@@ -35,6 +37,7 @@
 		created: time.Now().Unix(),
 		digest:  xxhash.New(),
 		changed: make(chan struct{}),
+		release: func() {},
 	}
 	_, _ = s.digest.WriteString(renderPrompt(request))
 	return s
@@ -58,8 +61,13 @@
 	return text
 }
 
-// step produces the next token, a function of all the text before it.
+// step produces the next token, a function of all the text before it. The slot
+// is free before the end shows, since whoever sees the end may send the next
+// request at once.
 func (s *engineStream) step() {
+	if s.nextIsLast() {
+		s.giveSlot()
+	}
 	token := " " + strconv.FormatUint(s.digest.Sum64()%0xffff, 36)
 	_, _ = s.digest.WriteString(token)
 	s.mu.Lock()
@@ -69,6 +77,26 @@
 	s.announce()
 }
 
+func (s *engineStream) nextIsLast() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.tokens)+1 >= s.max
+}
+
+// holdSlot notes how to give the engine's slot back.
+func (s *engineStream) holdSlot(release func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.release = sync.OnceFunc(release)
+}
+
+func (s *engineStream) giveSlot() {
+	s.mu.Lock()
+	release := s.release
+	s.mu.Unlock()
+	release()
+}
+
 func (s *engineStream) announce() {
 	close(s.changed)
 	s.changed = make(chan struct{})
