A resumed answer may wait as long as a new request; failures are avoided for a while

Change: each attempt has its own patience, bounded by the request timeout; a failed group or entry is passed over for 2 s. Test: TestALongAnswerOutlivesAPauseOfAllGroups, red before with no-capacity.

--- a/internal/entry/caller_api.go
+++ b/internal/entry/caller_api.go
@@ -218,8 +218,8 @@
 		id: newIdentifier(), created: time.Now().Unix(), startedAt: time.Now(), run: caller.NotRun,
 		need: need{
 			service: s, organisation: organisation, weight: state.Weight(organisation),
-			priority: request.priority, cost: cost, avoid: make(map[string]bool),
-			deadline: time.Now().Add(a.limits.QueueTimeout),
+			priority: request.priority, cost: cost, avoid: make(map[string]time.Time),
+			patience: a.limits.QueueTimeout,
 		},
 	}
 }
--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -126,7 +126,7 @@
 			Run:     g.run, RetryAfter: retryAfter,
 		}
 	}
-	g.need.avoid[t.group] = true
+	g.need.avoid[t.group] = time.Now().Add(avoidTime)
 	g.need.retry = true
 	return nil
 }
--- a/internal/entry/plain_proxy.go
+++ b/internal/entry/plain_proxy.go
@@ -22,8 +22,8 @@
 	firstByteTimeout = 10 * time.Second
 	// answerTimeout bounds the wait for a call that can't be repeated.
 	answerTimeout = 30 * time.Second
-	// avoidTime is how long a backend server that could not be reached is
-	// tried last.
+	// avoidTime is how long what has failed a call is passed over or tried
+	// last.
 	avoidTime = 2 * time.Second
 	copyBytes = 32 << 10
 )
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -31,14 +31,20 @@
 	priority     int
 	// cost is how many tokens the attempt is expected to be served.
 	cost float64
-	// avoid lists groups and entries that failed the request already.
-	avoid map[string]bool
+	// avoid says until when groups and entries that failed the request are
+	// passed over.
+	avoid map[string]time.Time
 	// retry marks an attempt that has waited before.
 	retry bool
 	// hopped says that another entry sent the request here.
 	hopped bool
-	// deadline is when waiting no longer makes sense.
-	deadline time.Time
+	// patience is how long the attempt may wait.
+	patience time.Duration
+}
+
+// avoids reports whether a group or entry is passed over now.
+func (n need) avoids(name string, now time.Time) bool {
+	return now.Before(n.avoid[name])
 }
 
 // router finds a target for each attempt.
@@ -105,7 +111,7 @@
 	var bestStatus permit.Status
 	for _, g := range rt.groups(n.service.Name) {
 		status := rt.permits.Status(g.Name, now)
-		if !status.Open || n.avoid[g.Name] {
+		if !status.Open || n.avoids(g.Name, now) {
 			continue
 		}
 		if !found || lessLoaded(status, bestStatus) {
@@ -161,7 +167,7 @@
 func (rt *router) wait(ctx context.Context, n need, q *admission.Queue, w *admission.Waiter, found <-chan *permit.Ticket, shed <-chan struct{}) (target, *caller.Error) {
 	spill := time.NewTimer(rt.spillDelay(n))
 	defer spill.Stop()
-	deadline := time.NewTimer(time.Until(n.deadline))
+	deadline := time.NewTimer(n.patience)
 	defer deadline.Stop()
 	for {
 		select {
@@ -201,14 +207,14 @@
 // where no group of the zone can take it at all.
 func (rt *router) spillDelay(n need) time.Duration {
 	if n.hopped {
-		return time.Until(n.deadline) + time.Hour // one hop is the limit
+		return n.patience + time.Hour // one hop is the limit
 	}
 	if rt.config.State().ZoneOut(rt.zone) {
 		return 0
 	}
 	now := time.Now()
 	for _, g := range rt.groups(n.service.Name) {
-		if rt.permits.Status(g.Name, now).Valid && !n.avoid[g.Name] {
+		if rt.permits.Status(g.Name, now).Valid && !n.avoids(g.Name, now) {
 			return spillAfter
 		}
 	}
@@ -218,7 +224,7 @@
 // remote returns an entry of another zone that has not failed the request.
 func (rt *router) remote(n need) (target, bool) {
 	for _, address := range rt.otherZones(rt.config.State().ZoneOut) {
-		if n.avoid[address] {
+		if n.avoids(address, time.Now()) {
 			continue
 		}
 		header := rt.peerHeader.Clone()
--- a/internal/fleet/focused_test.go
+++ b/internal/fleet/focused_test.go
@@ -378,3 +378,22 @@
 		require.Zero(t, f.Records.Count("far"))
 	})
 }
+
+func TestALongAnswerOutlivesAPauseOfAllGroups(t *testing.T) {
+	plan := oneZone()
+	plan.Speed.TokenInterval = 50 * time.Millisecond
+	inFleet(t, plan, func(ctx context.Context, t *testing.T, f *fleet.Fleet) {
+		set := func(faults standin.EngineFaults) {
+			for _, i := range f.Engines() {
+				i.Engine.SetFaults(faults)
+			}
+		}
+		go func() {
+			time.Sleep(15 * time.Second) // longer than a request may wait
+			set(standin.EngineFaults{Paused: true})
+			time.Sleep(2500 * time.Millisecond)
+			set(standin.EngineFaults{})
+		}()
+		requireWhole(t, generate(ctx, f, f.Entries()[0], "long", 500), "long", 500)
+	})
+}
