--- a/internal/fleet/focused_test.go
+++ b/internal/fleet/focused_test.go
@@ -397,3 +397,19 @@
 		requireWhole(t, generate(ctx, f, f.Entries()[0], "long", 500), "long", 500)
 	})
 }
+
+// TestAnAnswerThatIsContinuedIsResumedAgain covers a request that continues an
+// open message already, as one does that another entry has sent on.
+func TestAnAnswerThatIsContinuedIsResumedAgain(t *testing.T) {
+	inFleet(t, oneZone(), func(ctx context.Context, t *testing.T, f *fleet.Fleet) {
+		whole := standin.ExpectedAnswer("note", 20)
+		start := standin.ExpectedAnswer("note", 5)
+		for _, i := range leaders(f) {
+			i.Engine.SetFaults(standin.EngineFaults{CutAfter: 3, Forget: true})
+		}
+		_, text := post(ctx, t, f, "/v1/chat/completions", fleet.Key(0), fmt.Sprintf(
+			`{"model":"yard-notes","max_tokens":15,"continue_final_message":true,"add_generation_prompt":false,`+
+				`"messages":[{"role":"user","content":"note"},{"role":"assistant","content":%q}]}`, start))
+		require.Contains(t, text, fmt.Sprintf(`"content":%q`, whole[len(start):]))
+	})
+}
--- a/internal/processfleet/processfleet_test.go
+++ b/internal/processfleet/processfleet_test.go
@@ -162,9 +162,15 @@
 		requireWhole(t, <-stream(ctx, e, "outage", longAnswer), "outage", longAnswer)
 	}
 	_, err := f.Client(f.Entries[0]).Apply(ctx, operator.Change{
-		Author: "t", Kind: operator.KindInstance, Name: "x", Instance: &operator.Instance{Name: "x", Held: true},
+		Author: "t", Kind: operator.KindOrganisation, Name: "late",
+		Organisation: &operator.Organisation{Name: "late", KeyHashes: []string{operator.HashKey("k")}},
 	})
 	require.Error(t, err, "a change can't be accepted without the platform")
+	order, err := f.Client(f.Entries[0]).Apply(ctx, operator.Change{
+		Author: "t", Kind: operator.KindInstance, Name: "x", Instance: &operator.Instance{Name: "x", Held: true},
+	})
+	require.NoError(t, err)
+	require.Zero(t, order.Revision, "an order holds provisionally")
 	require.NoError(t, f.Control(ctx, f.Platform, "/control", standin.PlatformFaults{}))
 	require.NoError(t, f.WaitOpen(ctx))
 }
--- a/internal/standin/engine_stream.go
+++ b/internal/standin/engine_stream.go
@@ -38,6 +38,8 @@
 		digest:  xxhash.New(),
 		changed: make(chan struct{}),
 		release: func() {},
+		// Nothing is attached yet, but the answer is not abandoned either.
+		detached: time.Now(),
 	}
 	_, _ = s.digest.WriteString(renderPrompt(request))
 	return s
