--- a/internal/measure/relay_test.go
+++ b/internal/measure/relay_test.go
@@ -63,7 +63,7 @@
 // relay 100,000 tokens a second over 200 streams.
 func BenchmarkRelayTokens(b *testing.B) {
 	const streams, tokens = 220, 5000
-	f := startRelay(b, "--token-interval", "1900us", "--prefill-per-token", "1us")
+	f := startRelay(b, "--token-interval", "1400us", "--prefill-per-token", "1us")
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}}
 	caller := load.NewCaller(client, processfleet.CallerKey)
 	summary := load.NewSummary()
