Stand-in platform: an instance list that lags, and a dead instance it still shows

Test: TestADeadInstanceOfALaggingListIsNotChosenAgain (the list shows the instance for a minute after its death; its group is whole again without it within 15 s).

--- a/internal/command/standin/standin.go
+++ b/internal/command/standin/standin.go
@@ -38,6 +38,7 @@
 	cmd.Flag("latency-ms", "Delay of each answer in milliseconds.").IntVar(&faults.LatencyMS)
 	cmd.Flag("writes-per-second", "Limit of writes; 0 for none.").IntVar(&faults.WritesPerSecond)
 	cmd.Flag("reads-per-second", "Limit of reads; 0 for none.").IntVar(&faults.ReadsPerSecond)
+	cmd.Flag("list-lag-ms", "How long the instance list lags behind, in milliseconds.").IntVar(&faults.ListLagMS)
 	cmd.Action(func(*kingpin.ParseContext) error {
 		platform := standin.NewPlatform()
 		platform.SetFaults(faults)
--- a/internal/fleet/focused_test.go
+++ b/internal/fleet/focused_test.go
@@ -413,3 +413,17 @@
 		require.Contains(t, text, fmt.Sprintf(`"content":%q`, whole[len(start):]))
 	})
 }
+
+func TestADeadInstanceOfALaggingListIsNotChosenAgain(t *testing.T) {
+	inFleet(t, oneZone(), func(ctx context.Context, t *testing.T, f *fleet.Fleet) {
+		f.Platform.SetFaults(standin.PlatformFaults{ListLagMS: 60_000})
+		dead := leaders(f)[0]
+		dead.Engine.SetFaults(standin.EngineFaults{Dead: true})
+		f.Unlist(dead.Name) // shows only in a minute
+		time.Sleep(15 * time.Second)
+		require.NoError(t, f.WaitComplete(ctx))
+		for _, members := range f.GroupMembers() {
+			require.NotContains(t, members, dead.Name)
+		}
+	})
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -22,6 +22,8 @@
 	// WritesPerSecond and ReadsPerSecond limit the rate; 0 means no limit.
 	WritesPerSecond int `json:"writes-per-second"`
 	ReadsPerSecond  int `json:"reads-per-second"`
+	// ListLagMS is how long the instance list lags behind, in milliseconds.
+	ListLagMS int `json:"list-lag-ms"`
 }
 
 // PlatformCounts counts the calls that a platform answered.
@@ -98,8 +100,19 @@
 	return rate.NewLimiter(rate.Limit(perSecond), perSecond)
 }
 
-// SetInstances replaces the instance list.
+// SetInstances replaces the instance list, after the list's lag.
 func (p *Platform) SetInstances(list []InstanceLabels) {
+	p.mu.Lock()
+	lag := time.Duration(p.faults.ListLagMS) * time.Millisecond
+	p.mu.Unlock()
+	if lag > 0 {
+		time.AfterFunc(lag, func() { p.showInstances(list) })
+		return
+	}
+	p.showInstances(list)
+}
+
+func (p *Platform) showInstances(list []InstanceLabels) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.instances = list
