--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -6,16 +6,19 @@
 )
 
 // every calls step at once and then at each interval, or earlier when kicked,
-// until ctx ends.
-func every(ctx context.Context, interval time.Duration, kick <-chan struct{}, step func(context.Context)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
+// until ctx ends. A nil kick means that nothing kicks the loop.
+func every(ctx context.Context, interval time.Duration, kick kicker, step func(context.Context)) {
+	if kick == nil {
+		kick = newKicker()
+	}
+	timer := time.AfterFunc(interval, kick.kick)
+	defer timer.Stop()
 	for {
+		timer.Reset(interval)
 		step(ctx)
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
 		case <-kick:
 		}
 	}
