One check for failed dials; drop a function that nothing calls

Reading the change once more: the engine's and the platform's clients each had the same check for a failure to open a connection, and RunState.Known had no caller.

--- a/pkg/caller/run_state.go
+++ b/pkg/caller/run_state.go
@@ -15,8 +15,3 @@
 	// MayHaveRun means that a backend server may have run the request.
 	MayHaveRun RunState = "may-have-run"
 )
-
-// Known reports whether s is one of the three run states.
-func (s RunState) Known() bool {
-	return s == NotRun || s == Ran || s == MayHaveRun
-}
--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -13,6 +13,7 @@
 	"github.com/dghubble/sling"
 	"github.com/pkg/errors"
 
+	"github.com/hibiscuspulley/hibiscuspulley/internal/dialerror"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/sse"
 	"github.com/hibiscuspulley/hibiscuspulley/pkg/caller"
 )
@@ -118,7 +119,7 @@
 	reply, err := c.transport.RoundTrip(request)
 	if err != nil {
 		c.retireConnections(ctx)
-		if IsDialError(err) {
+		if dialerror.Is(err) {
 			return nil, errors.Wrap(ErrNotReached, err.Error())
 		}
 		return nil, errors.Wrap(err, "send to the engine")
@@ -196,10 +197,3 @@
 	}
 	return "http://" + address
 }
-
-// IsDialError reports whether err means that no connection was opened, so
-// that no byte can have reached the other end.
-func IsDialError(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -8,6 +8,8 @@
 
 	"github.com/dghubble/sling"
 	"github.com/pkg/errors"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/dialerror"
 )
 
 const (
@@ -127,7 +129,7 @@
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		return Outcome{}, errors.Wrap(ErrUnavailable, err.Error())
 	}
-	if isDialError(err) {
+	if dialerror.Is(err) {
 		return Outcome{}, errors.Wrap(ErrUnavailable, err.Error())
 	}
 	return c.readBack(ctx, txn, err)
@@ -175,11 +177,6 @@
 	}
 }
 
-func isDialError(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
 // prefixEnd returns the first key after all keys that begin with prefix.
 func prefixEnd(prefix string) []byte {
 	end := []byte(prefix)
