--- /dev/null
+++ b/cmd/stand-in/main.go
@@ -0,0 +1,21 @@
+// Command stand-in runs small stand-ins for the platform, model engines and
+// plain services, for tests across processes.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/command/factory"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/command/standin"
+)
+
+func main() {
+	f := factory.New()
+	app := standin.New(f)
+	app.Terminate(os.Exit)
+	if _, err := app.Parse(os.Args[1:]); err != nil {
+		fmt.Fprintln(f.Err, "stand-in:", err)
+		os.Exit(factory.ExitCode(err))
+	}
+}
--- /dev/null
+++ b/internal/command/factory/entities.go
@@ -0,0 +1,62 @@
+package factory
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/hibiscuspulley/hibiscuspulley/pkg/operator"
+)
+
+// Read returns the configuration in force and the client that read it.
+func (f *Factory) Read(ctx context.Context) (*operator.Client, operator.Configuration, error) {
+	client, err := f.Operator()
+	if err != nil {
+		return nil, operator.Configuration{}, err
+	}
+	configuration, err := client.Configuration(ctx)
+	return client, configuration, err
+}
+
+// Entities returns the changes that hold the existing entities of a kind.
+func Entities(c operator.Configuration, kind operator.Kind) []operator.Change {
+	var list []operator.Change
+	for _, change := range c.Changes {
+		if change.Kind == kind && !change.Deleted {
+			list = append(list, change)
+		}
+	}
+	return list
+}
+
+// Entity returns the change that holds one entity. It fails when there is
+// none of that name.
+func Entity(c operator.Configuration, kind operator.Kind, name string) (operator.Change, error) {
+	for _, change := range Entities(c, kind) {
+		if change.Name == name {
+			return change, nil
+		}
+	}
+	return operator.Change{}, errors.Errorf("there is no %s %q; see hibiscuspulley %s list", kind, name, kind)
+}
+
+// Delete deletes an entity, for a reason.
+func (f *Factory) Delete(ctx context.Context, kind operator.Kind, name, reason string) error {
+	client, configuration, err := f.Read(ctx)
+	if err != nil {
+		return err
+	}
+	if _, err := Entity(configuration, kind, name); err != nil {
+		return err
+	}
+	return f.Apply(ctx, client, operator.Change{
+		Base: configuration.Revision, Kind: kind, Name: name, Deleted: true, Reason: reason,
+	})
+}
+
+// Action runs a command's function with a context that ends at an interrupt.
+func (f *Factory) Action(run func(ctx context.Context) error) error {
+	ctx, cancel := f.Context()
+	defer cancel()
+	return run(ctx)
+}
--- /dev/null
+++ b/internal/command/instance/set.go
@@ -0,0 +1,48 @@
+package instance
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/command/factory"
+	"github.com/hibiscuspulley/hibiscuspulley/pkg/operator"
+)
+
+// SetOptions are the options of the commands that mark an instance.
+type SetOptions struct {
+	Factory *factory.Factory
+	Name    string
+	Reason  string
+	// Mark writes the mark.
+	Mark func(*operator.Instance)
+}
+
+func newSet(noun *kingpin.CmdClause, f *factory.Factory, verb, help string, mark func(*operator.Instance)) {
+	opts := &SetOptions{Factory: f, Mark: mark}
+	cmd := noun.Command(verb, help+"\n\nExample:\n  hibiscuspulley instance "+verb+" engine-a-0-3 --reason 'fan noise'")
+	cmd.Arg("name", "Instance.").Required().StringVar(&opts.Name)
+	cmd.Flag("reason", "Reason for the history.").StringVar(&opts.Reason)
+	cmd.Action(func(*kingpin.ParseContext) error {
+		return f.Action(func(ctx context.Context) error { return RunSet(ctx, opts) })
+	})
+}
+
+// RunSet marks an instance.
+func RunSet(ctx context.Context, opts *SetOptions) error {
+	client, configuration, err := opts.Factory.Read(ctx)
+	if err != nil {
+		return err
+	}
+	word := operator.Instance{Name: opts.Name}
+	for _, c := range factory.Entities(configuration, operator.KindInstance) {
+		if c.Name == opts.Name {
+			word = *c.Instance
+		}
+	}
+	opts.Mark(&word)
+	return opts.Factory.Apply(ctx, client, operator.Change{
+		Base: configuration.Revision, Kind: operator.KindInstance, Name: opts.Name,
+		Reason: opts.Reason, Instance: &word,
+	})
+}
--- /dev/null
+++ b/internal/command/root/root.go
@@ -0,0 +1,55 @@
+// Package root puts the commands together.
+package root
+
+import (
+	"os"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/command/config"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/command/factory"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/command/group"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/command/instance"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/command/organisation"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/command/serve"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/command/service"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/command/settings"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/command/status"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/command/zone"
+)
+
+const defaultWait = 20 * time.Second
+
+// New returns the application with all its commands.
+func New(f *factory.Factory) *kingpin.Application {
+	app := kingpin.New("hibiscuspulley", "Serve language models whose replicas span several instances.")
+	app.HelpFlag.Short('h')
+	app.UsageWriter(f.Err)
+	app.ErrorWriter(f.Err)
+	addFlags(app, f)
+	serve.New(app, f)
+	settings.New(app, f)
+	service.New(app, f)
+	group.New(app, f)
+	organisation.New(app, f)
+	zone.New(app, f)
+	instance.New(app, f)
+	config.New(app, f)
+	status.New(app, f)
+	return app
+}
+
+// addFlags adds the flags that operator commands share.
+func addFlags(app *kingpin.Application, f *factory.Factory) {
+	flags := &f.Flags
+	app.Flag("entry", "URL of an entry's operator listener.").
+		Default("http://127.0.0.1:8081").Envar("HIBISCUSPULLEY_ENTRY").StringVar(&flags.Entry)
+	app.Flag("key-file", "File with the operators' key.").
+		Envar("HIBISCUSPULLEY_KEY_FILE").StringVar(&flags.KeyFile)
+	app.Flag("author", "Name in the history of changes.").
+		Default(os.Getenv("USER")).Envar("HIBISCUSPULLEY_AUTHOR").StringVar(&flags.Author)
+	app.Flag("json", "Write results for machines.").BoolVar(&flags.JSON)
+	app.Flag("wait", "Wait until a change is in force at every entry.").BoolVar(&flags.Wait)
+	app.Flag("wait-timeout", "Bound of --wait.").Default(defaultWait.String()).DurationVar(&flags.WaitTimeout)
+}
--- /dev/null
+++ b/internal/command/serve/serve.go
@@ -0,0 +1,54 @@
+// Package serve is the command that runs an entry instance.
+package serve
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/command/factory"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/entry"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/settings"
+)
+
+// Options are the command's options.
+type Options struct {
+	Factory *factory.Factory
+	// SettingsFile is the entry's settings file.
+	SettingsFile string
+}
+
+// New adds the command to the application.
+func New(app *kingpin.Application, f *factory.Factory) {
+	opts := &Options{Factory: f}
+	cmd := app.Command("serve", "Run an entry instance until it is told to stop.\n\nExample:\n  hibiscuspulley serve --settings entry-a1.json")
+	cmd.Flag("settings", "Settings file: JSON with comments.").Required().StringVar(&opts.SettingsFile)
+	cmd.Action(func(*kingpin.ParseContext) error {
+		ctx, cancel := f.Context()
+		defer cancel()
+		return Run(ctx, opts)
+	})
+}
+
+// Run runs the entry until ctx ends, then shuts it down in order.
+func Run(ctx context.Context, opts *Options) error {
+	s, err := settings.Load(opts.SettingsFile)
+	if err != nil {
+		return err
+	}
+	logger := logrus.New()
+	logger.SetOutput(opts.Factory.Err)
+	level, err := logrus.ParseLevel(s.LogLevel)
+	if err != nil {
+		return errors.Wrap(err, "read log-level")
+	}
+	logger.SetLevel(level)
+	e, err := entry.New(s, entry.WithLogger(logger))
+	if err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return e.Shutdown(context.WithoutCancel(ctx))
+}
--- /dev/null
+++ b/internal/command/service/create.go
@@ -0,0 +1,46 @@
+package service
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/command/factory"
+	"github.com/hibiscuspulley/hibiscuspulley/pkg/operator"
+)
+
+// CreateOptions are the options of service create.
+type CreateOptions struct {
+	Factory *factory.Factory
+	Name    string
+	Kind    string
+	Reason  string
+	Fields  Fields
+}
+
+func newCreate(noun *kingpin.CmdClause, f *factory.Factory) {
+	opts := &CreateOptions{Factory: f}
+	cmd := noun.Command("create", "Create a service.\n\nExamples:\n  hibiscuspulley service create yard-notes --kind model --group-size 4 --groups a=4 --groups b=4 --slots 16 --cold-limit 2\n  hibiscuspulley service create docking --kind plain")
+	cmd.Arg("name", "Service.").Required().StringVar(&opts.Name)
+	cmd.Flag("kind", "model or plain.").Required().EnumVar(&opts.Kind, "model", "plain")
+	cmd.Flag("reason", "Reason for the history.").StringVar(&opts.Reason)
+	opts.Fields.addFlags(cmd)
+	cmd.Action(func(*kingpin.ParseContext) error {
+		return f.Action(func(ctx context.Context) error { return RunCreate(ctx, opts) })
+	})
+}
+
+// RunCreate creates a service. It fails when one of that name exists.
+func RunCreate(ctx context.Context, opts *CreateOptions) error {
+	client, err := opts.Factory.Operator()
+	if err != nil {
+		return err
+	}
+	s := &operator.Service{Name: opts.Name, Kind: operator.ServiceKind(opts.Kind)}
+	if err := opts.Fields.apply(s); err != nil {
+		return err
+	}
+	return opts.Factory.Apply(ctx, client, operator.Change{
+		Kind: operator.KindService, Name: opts.Name, Reason: opts.Reason, Service: s,
+	})
+}
--- /dev/null
+++ b/internal/command/settings/check.go
@@ -0,0 +1,71 @@
+// Package settings is the command that checks settings files.
+package settings
+
+import (
+	"fmt"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/command/factory"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/findings"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/settings"
+)
+
+// CheckOptions are the options of settings check.
+type CheckOptions struct {
+	Factory *factory.Factory
+	File    string
+}
+
+// New adds the noun to the application.
+func New(app *kingpin.Application, f *factory.Factory) {
+	noun := app.Command("settings", "Work with settings files.")
+	opts := &CheckOptions{Factory: f}
+	check := noun.Command("check", "Report everything wrong with a settings file, with line, column and remedy.\n\nExample:\n  hibiscuspulley settings check entry-a1.json")
+	check.Arg("file", "Settings file.").Required().StringVar(&opts.File)
+	check.Action(func(*kingpin.ParseContext) error { return RunCheck(opts) })
+}
+
+type findingWire struct {
+	File    string `json:"file"`
+	Line    int    `json:"line"`
+	Column  int    `json:"column"`
+	Message string `json:"message"`
+	Remedy  string `json:"remedy"`
+}
+
+// RunCheck reports the findings on standard output. It fails when there are
+// any.
+func RunCheck(opts *CheckOptions) error {
+	_, err := settings.Load(opts.File)
+	var list findings.List
+	if err != nil && !errors.As(err, &list) {
+		return err
+	}
+	if err := write(opts.Factory, list); err != nil {
+		return err
+	}
+	if len(list) > 0 {
+		return errors.Errorf("%s: %d findings; correct them and check again", opts.File, len(list))
+	}
+	return nil
+}
+
+func write(f *factory.Factory, list findings.List) error {
+	if f.Flags.JSON {
+		wires := []findingWire{}
+		for _, n := range list {
+			wires = append(wires, findingWire{
+				File: n.File, Line: n.Line, Column: n.Column, Message: n.Message, Remedy: n.Remedy,
+			})
+		}
+		return f.WriteJSON(wires)
+	}
+	for _, n := range list {
+		if _, err := fmt.Fprintln(f.Out, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/entry/authenticate.go
+++ b/internal/entry/authenticate.go
@@ -16,7 +16,7 @@
 func authenticate(state *config.State, r *http.Request) (operator.Organisation, *caller.Error) {
 	key, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !found {
-		return operator.Organisation{}, unauthorized("no bearer key; send the header Authorization: Bearer KEY")
+		return operator.Organisation{}, unauthorised("no bearer key; send the header Authorization: Bearer KEY")
 	}
 	given := []byte(operator.HashKey(key))
 	var match *operator.Organisation
@@ -28,12 +28,12 @@
 		}
 	}
 	if match == nil {
-		return operator.Organisation{}, unauthorized("the bearer key belongs to no organisation")
+		return operator.Organisation{}, unauthorised("the bearer key belongs to no organisation")
 	}
 	return *match, nil
 }
 
-func unauthorized(message string) *caller.Error {
+func unauthorised(message string) *caller.Error {
 	return &caller.Error{
 		Status: http.StatusUnauthorized, Code: "invalid-key", Message: message, Run: caller.NotRun,
 	}
--- a/internal/entry/caller_api.go
+++ b/internal/entry/caller_api.go
@@ -136,7 +136,7 @@
 // serveForward serves a request that an entry of another zone sends here.
 func (a *callerAPI) serveForward(w http.ResponseWriter, r *http.Request) {
 	if !peer.Authorized(r, a.peerKey) {
-		unauthorized("wrong peer key").Write(w)
+		unauthorised("wrong peer key").Write(w)
 		return
 	}
 	if r.Header.Get(engine.ResumeHeader) != "" {
@@ -176,12 +176,14 @@
 	}
 	defer a.router.exit(organisation)
 	g := a.generation(request, service, organisation, path, chat)
+	g.publicID = g.attemptID(1)
 	g.out = newWholeSink(w)
 	if request.stream || id != "" {
 		g.out = newStreamSink(w, a.limits.WriteTimeout, id)
 	}
 	if id != "" {
 		g.id = id
+		g.publicID = id
 		g.need.hopped = true
 	}
 	return a.run(r.Context(), g, state.Defaults().RequestTimeout)
--- a/internal/entry/configurer.go
+++ b/internal/entry/configurer.go
@@ -134,7 +134,8 @@
 			return operator.Change{}, nil, c.health.note(err)
 		}
 		if err == nil && outcome.Succeeded {
-			return change, nil, c.adopt(ctx, change)
+			c.adopt(ctx, change)
+			return change, nil, nil
 		}
 	}
 	return operator.Change{}, nil, errRaced
@@ -142,20 +143,25 @@
 
 // adopt puts an accepted change into force here and stores a snapshot when
 // one is due.
-func (c *configurer) adopt(ctx context.Context, change operator.Change) error {
+func (c *configurer) adopt(ctx context.Context, change operator.Change) {
 	if c.log.Offer([]operator.Change{change}) > 0 {
 		c.announce()
 	}
-	if change.Revision%config.SnapshotInterval != 0 {
-		return nil
+	if change.Revision%config.SnapshotInterval == 0 {
+		c.storeSnapshot(ctx)
 	}
-	err := c.platform.PutObject(ctx, config.SnapshotKey, config.EncodeSnapshot(c.log.State()))
+}
+
+// storeSnapshot spares entries that start later the reading of every single
+// change. A snapshot that can't be stored costs only that.
+func (c *configurer) storeSnapshot(ctx context.Context) {
+	state := c.log.State()
+	err := c.platform.PutObject(ctx, config.SnapshotKey, config.EncodeSnapshot(state))
 	if err != nil {
 		event.SnapshotFailed.Log(c.logger, logrus.Fields{"error": err})
-		return nil // the single changes tell the same
+		return
 	}
-	event.ConfigSnapshot.Log(c.logger, logrus.Fields{"revision": change.Revision})
-	return nil
+	event.ConfigSnapshot.Log(c.logger, logrus.Fields{"revision": state.Revision()})
 }
 
 // answerPull answers a peer that is behind.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -270,7 +270,7 @@
 	mux.HandleFunc("POST "+forwardPath+"/", e.callers.serveForward)
 	mux.HandleFunc("GET "+revisionPath, func(w http.ResponseWriter, r *http.Request) {
 		if !peer.Authorized(r, e.peers.key) {
-			unauthorized("wrong peer key").Write(w)
+			unauthorised("wrong peer key").Write(w)
 			return
 		}
 		e.operators.serveRevision(w, r)
--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -43,8 +43,10 @@
 	chat    bool
 	model   string
 	id      string
-	created int64
-	out     sink
+	// publicID is the id that the caller sees in all chunks.
+	publicID string
+	created  int64
+	out      sink
 
 	attempts int
 	text     strings.Builder
@@ -58,9 +60,9 @@
 // answerID returns the id that all chunks of the answer carry.
 func (g *generation) answerID() string {
 	if g.chat {
-		return "chatcmpl-" + g.attemptID(1)
+		return "chatcmpl-" + g.publicID
 	}
-	return "cmpl-" + g.attemptID(1)
+	return "cmpl-" + g.publicID
 }
 
 // attemptID returns the identifier of an attempt, counted from 1.
@@ -263,8 +265,8 @@
 	}
 	g.finished = g.finished || c.finish != ""
 	g.run = caller.Ran
-	if g.attempts > 1 {
-		data = bytes.Replace(data, []byte(attemptID), []byte(g.attemptID(1)), 1)
+	if attemptID != g.publicID {
+		data = bytes.Replace(data, []byte(attemptID), []byte(g.publicID), 1)
 	}
 	return g.out.event(data, c)
 }
