--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -8,6 +8,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/hibiscuspulley/hibiscuspulley/internal/command/config"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/command/demo"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/command/factory"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/command/group"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/command/instance"
@@ -37,6 +38,7 @@
 	instance.New(app, f)
 	config.New(app, f)
 	status.New(app, f)
+	demo.New(app, f)
 	return app
 }
 
--- /dev/null
+++ b/internal/load/doc.go
@@ -0,0 +1,2 @@
+// Package load calls entries as callers do and measures what they see.
+package load
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -316,3 +316,13 @@
 	n, err := strconv.Atoi(number)
 	return n, err == nil
 }
+
+// Rank returns the engine's rank in its group, -1 for none.
+func (e *Engine) Rank() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.order.Group == "" {
+		return -1
+	}
+	return e.order.Rank
+}
