--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -7,6 +7,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/hibiscuspulley/hibiscuspulley/internal/command/bench"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/command/config"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/command/demo"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/command/factory"
@@ -39,6 +40,7 @@
 	config.New(app, f)
 	status.New(app, f)
 	demo.New(app, f)
+	bench.New(app, f)
 	return app
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -256,6 +256,7 @@
 	e.loop(ctx, expiryInterval, nil, func(context.Context) { e.permits.Expire(time.Now()) })
 	event.Started.Log(e.logger, logrus.Fields{
 		"entry": e.settings.Name, "zone": e.settings.Zone, "callers": e.callerListener.address(),
+		"operators": e.operatorListener.address(), "peers": e.peerListener.address(),
 	})
 }
 
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/hibiscuspulley/hibiscuspulley/internal/config"
@@ -53,6 +54,8 @@
 	asked    time.Time
 	complete bool
 	blocked  bool
+	// failure is the error of the last probe that failed.
+	failure  error
 	downtime time.Duration
 	checked  time.Time
 	cancel   context.CancelFunc
@@ -128,6 +131,7 @@
 	health, err := w.engines.Probe(ctx, member.Address)
 	w.mu.Lock()
 	if err != nil {
+		w.failure = errors.Wrap(err, member.Instance)
 		w.monitor.Failed(sentAt, member.Instance)
 	} else {
 		w.monitor.Answered(sentAt, member.Instance, health)
@@ -155,10 +159,12 @@
 	w.checked = now
 	w.complete = verdict.Complete
 	w.blocked = blocked
+	failure := w.failure
 	w.mu.Unlock()
 	fields := logrus.Fields{"group": group.Name, "generation": group.Generation}
 	switch {
 	case lost:
+		fields["last-failure"] = failure
 		event.GroupIncomplete.Log(w.logger, fields)
 		w.revoke(permit.Revocation{Group: group.Name, Generation: group.Generation, Abort: true})
 	case stopped:
--- /dev/null
+++ b/internal/processfleet/fleet.go
@@ -0,0 +1,353 @@
+package processfleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/dghubble/sling"
+	"github.com/pkg/errors"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/standin"
+	"github.com/hibiscuspulley/hibiscuspulley/pkg/operator"
+)
+
+const (
+	operatorKey = "operator-key-of-the-process-fleet"
+	peerKey     = "peer-key-of-the-process-fleet"
+	// CallerKey is the bearer key of the fleet's one organisation.
+	CallerKey = "caller-key-of-the-process-fleet"
+	// Model and Service are the names of the fleet's services.
+	Model   = "yard-notes"
+	Service = "docking"
+)
+
+// Plan describes a fleet.
+type Plan struct {
+	Zones          []string
+	EntriesPerZone int
+	EnginesPerZone int
+	GroupsPerZone  int
+	GroupSize      int
+	Slots          int
+	ColdLimit      int
+	// EngineFlags are further flags of the engine stand-ins.
+	EngineFlags []string
+}
+
+// Instance is one backend server's process.
+type Instance struct {
+	*Process
+	Address string
+	Zone    string
+	// Service is empty for engines.
+	Service string
+}
+
+// Entry is one entry's process.
+type Entry struct {
+	*Process
+	Zone     string
+	Caller   string
+	Operator string
+	Peer     string
+}
+
+// Fleet is a running fleet of processes.
+type Fleet struct {
+	Plan      Plan
+	Platform  *Instance
+	Instances []*Instance
+	Entries   []*Entry
+
+	directory string
+}
+
+var (
+	addressLine = regexp.MustCompile(`(?m)^(127\.0\.0\.1:\d+)$`)
+	startedLine = regexp.MustCompile(`(?m)^.*event=100 .*$`)
+	field       = regexp.MustCompile(`(callers|operators|peers)="([^"]+)"`)
+)
+
+// Start builds the programs into the directory and starts the fleet there.
+func Start(ctx context.Context, directory string, plan Plan) (*Fleet, error) {
+	f := &Fleet{Plan: plan, directory: directory}
+	if err := f.start(ctx); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	if err := f.build(ctx); err != nil {
+		return err
+	}
+	if err := f.writeKeys(); err != nil {
+		return err
+	}
+	if err := f.startStandIns(ctx); err != nil {
+		return err
+	}
+	for _, zone := range f.Plan.Zones {
+		for i := range f.Plan.EntriesPerZone {
+			if _, err := f.StartEntry(ctx, fmt.Sprintf("entry-%s%d", zone, i+1), zone); err != nil {
+				return err
+			}
+		}
+	}
+	return f.configure(ctx)
+}
+
+func (f *Fleet) build(ctx context.Context) error {
+	const module = "github.com/hibiscuspulley/hibiscuspulley/cmd/"
+	cmd := exec.CommandContext(ctx, "go", "build", "-o", f.directory+"/", module+"hibiscuspulley", module+"stand-in")
+	output, err := cmd.CombinedOutput()
+	return errors.Wrapf(err, "build the programs: %s", output)
+}
+
+func (f *Fleet) path(name string) string { return filepath.Join(f.directory, name) }
+
+func (f *Fleet) writeKeys() error {
+	for name, key := range map[string]string{"operator.key": operatorKey, "peer.key": peerKey, "caller.key": CallerKey} {
+		if err := os.WriteFile(f.path(name), []byte(key), 0o600); err != nil {
+			return errors.Wrap(err, "write a key")
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startStandIns(ctx context.Context) error {
+	var err error
+	if f.Platform, err = f.startStandIn(ctx, "platform", "", "", "platform", "--address", "127.0.0.1:0"); err != nil {
+		return err
+	}
+	for _, zone := range f.Plan.Zones {
+		for i := range f.Plan.EnginesPerZone {
+			args := append([]string{"engine", "--addresses", "127.0.0.1:0"}, f.Plan.EngineFlags...)
+			if err := f.addInstance(ctx, fmt.Sprintf("engine-%s-%d", zone, i), zone, "", args); err != nil {
+				return err
+			}
+		}
+		if err := f.addInstance(ctx, "docking-"+zone, zone, Service, []string{"service"}); err != nil {
+			return err
+		}
+	}
+	return f.Publish(ctx)
+}
+
+func (f *Fleet) addInstance(ctx context.Context, name, zone, service string, args []string) error {
+	instance, err := f.startStandIn(ctx, name, zone, service, args...)
+	if err == nil {
+		f.Instances = append(f.Instances, instance)
+	}
+	return err
+}
+
+func (f *Fleet) startStandIn(ctx context.Context, name, zone, service string, args ...string) (*Instance, error) {
+	p, err := start(name, f.path("stand-in"), args...)
+	if err != nil {
+		return nil, err
+	}
+	match, err := p.WaitFor(ctx, addressLine)
+	if err != nil {
+		p.Kill()
+		return nil, err
+	}
+	return &Instance{Process: p, Address: match[1], Zone: zone, Service: service}, nil
+}
+
+// Publish writes the instance list: every instance whose process runs.
+func (f *Fleet) Publish(ctx context.Context) error {
+	var list []standin.InstanceLabels
+	for _, i := range f.Instances {
+		select {
+		case <-i.done:
+			continue
+		default:
+		}
+		labels := map[string]string{
+			"instance": i.Name, "zone": i.Zone, "fabric_domain": "domain-" + i.Zone, "checks_fencing": "true",
+		}
+		if i.Service != "" {
+			labels["service"] = i.Service
+		}
+		list = append(list, standin.InstanceLabels{Targets: []string{i.Address}, Labels: labels})
+	}
+	return f.Control(ctx, f.Platform, "/control/instances", list)
+}
+
+// Control sends a setting to a stand-in's control endpoint.
+func (f *Fleet) Control(ctx context.Context, i *Instance, path string, body any) error {
+	request, err := sling.New().Put("http://" + i.Address + path).BodyJSON(body).Request()
+	if err != nil {
+		return err
+	}
+	reply, err := http.DefaultClient.Do(request.WithContext(ctx))
+	if err != nil {
+		return errors.Wrapf(err, "control %s", i.Name)
+	}
+	defer reply.Body.Close()
+	if reply.StatusCode != http.StatusOK {
+		return errors.Errorf("control %s: %s", i.Name, reply.Status)
+	}
+	return nil
+}
+
+// Counts reads what a stand-in has counted.
+func (f *Fleet) Counts(ctx context.Context, i *Instance, into any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+i.Address+"/control/counts", nil)
+	if err != nil {
+		return err
+	}
+	reply, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Wrapf(err, "read the counts of %s", i.Name)
+	}
+	defer reply.Body.Close()
+	return json.NewDecoder(reply.Body).Decode(into)
+}
+
+// StartEntry starts an entry's process.
+func (f *Fleet) StartEntry(ctx context.Context, name, zone string) (*Entry, error) {
+	file := f.path(name + ".json")
+	if err := os.WriteFile(file, []byte(f.settings(name, zone)), 0o600); err != nil {
+		return nil, errors.Wrap(err, "write the settings")
+	}
+	p, err := start(name, f.path("hibiscuspulley"), "serve", "--settings", file)
+	if err != nil {
+		return nil, err
+	}
+	line, err := p.WaitFor(ctx, startedLine)
+	if err != nil {
+		p.Kill()
+		return nil, err
+	}
+	e := &Entry{Process: p, Zone: zone}
+	for _, match := range field.FindAllStringSubmatch(line[0], -1) {
+		switch match[1] {
+		case "callers":
+			e.Caller = "http://" + match[2]
+		case "operators":
+			e.Operator = "http://" + match[2]
+		case "peers":
+			e.Peer = match[2]
+		}
+	}
+	f.Entries = append(f.Entries, e)
+	return e, nil
+}
+
+func (f *Fleet) settings(name, zone string) string {
+	text := `{
+	"name": "NAME", "zone": "ZONE",
+	"caller": {"address": "127.0.0.1:0"},
+	"operator": {"address": "127.0.0.1:0", "key-file": "DIRECTORY/operator.key"},
+	"peer": {"address": "127.0.0.1:0", "key-file": "DIRECTORY/peer.key"},
+	"platform": {
+		"table-url": "http://PLATFORM", "objects-url": "http://PLATFORM/objects",
+		"instances-url": "http://PLATFORM/instances", "timeout": "1s",
+	},
+}`
+	return strings.NewReplacer("NAME", name, "ZONE", zone, "DIRECTORY", f.directory, "PLATFORM", f.Platform.Address).Replace(text)
+}
+
+// Client returns a client of an entry's operators' API.
+func (f *Fleet) Client(e *Entry) *operator.Client {
+	return operator.NewClient(e.Operator, operatorKey)
+}
+
+func (f *Fleet) configure(ctx context.Context) error {
+	model := &operator.Service{
+		Name: Model, Kind: operator.ModelService, GroupSize: f.Plan.GroupSize,
+		Slots: f.Plan.Slots, ColdLimit: f.Plan.ColdLimit,
+	}
+	for _, zone := range f.Plan.Zones {
+		model.Groups = append(model.Groups, operator.ZoneGroups{Zone: zone, Count: f.Plan.GroupsPerZone})
+	}
+	client := f.Client(f.Entries[0])
+	for _, change := range []operator.Change{
+		{Kind: operator.KindService, Name: Model, Service: model},
+		{Kind: operator.KindService, Name: Service, Service: &operator.Service{Name: Service, Kind: operator.PlainService}},
+		{Kind: operator.KindOrganisation, Name: "tester", Organisation: &operator.Organisation{
+			Name: "tester", KeyHashes: []string{operator.HashKey(CallerKey)},
+		}},
+	} {
+		change.Author = "tests"
+		if _, err := client.Apply(ctx, change); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// pollStep is how often a condition is looked at.
+const pollStep = 50 * time.Millisecond
+
+// WaitUntil waits until the condition holds, or fails when ctx ends first.
+func WaitUntil(ctx context.Context, what string, holds func() bool) error {
+	for !holds() {
+		select {
+		case <-ctx.Done():
+			return errors.Errorf("waited in vain for: %s", what)
+		case <-time.After(pollStep):
+		}
+	}
+	return nil
+}
+
+// WaitOpen waits until every running entry holds warm permits for all groups.
+func (f *Fleet) WaitOpen(ctx context.Context) error {
+	for _, e := range f.Entries {
+		err := WaitUntil(ctx, "open groups at "+e.Name, func() bool { return f.open(ctx, e) == f.Plan.GroupsPerZone })
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// open counts the groups for which the entry holds a warm permit.
+func (f *Fleet) open(ctx context.Context, e *Entry) int {
+	status, err := f.Client(e).Status(ctx)
+	if err != nil {
+		return -1
+	}
+	open := 0
+	for _, g := range status.Groups {
+		if g.Valid && !g.Cold {
+			open++
+		}
+	}
+	return open
+}
+
+// Remove forgets an entry whose process has ended.
+func (f *Fleet) Remove(e *Entry) {
+	for i, other := range f.Entries {
+		if other == e {
+			f.Entries = append(f.Entries[:i], f.Entries[i+1:]...)
+			return
+		}
+	}
+}
+
+// Close ends all processes of the fleet.
+func (f *Fleet) Close() {
+	for _, e := range f.Entries {
+		e.Kill()
+	}
+	for _, i := range f.Instances {
+		i.Kill()
+	}
+	if f.Platform != nil {
+		f.Platform.Kill()
+	}
+}
--- a/internal/settings/object.go
+++ b/internal/settings/object.go
@@ -152,7 +152,9 @@
 func (o *object) object(name string, required bool) *object {
 	value, found := o.take(name, required)
 	if !found {
-		return &object{reader: o.reader, value: o.value, path: o.full(name), used: make(map[string]bool)}
+		// Its members are looked for at the place where it is missing.
+		absent := hujson.Value{StartOffset: o.value.StartOffset}
+		return &object{reader: o.reader, value: absent, path: o.full(name), used: make(map[string]bool)}
 	}
 	return newObject(o.reader, value, o.full(name))
 }
