--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -14,6 +14,7 @@
 	"github.com/hibiscuspulley/hibiscuspulley/internal/command/group"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/command/instance"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/command/organisation"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/command/report"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/command/serve"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/command/service"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/command/settings"
@@ -39,6 +40,7 @@
 	instance.New(app, f)
 	config.New(app, f)
 	status.New(app, f)
+	report.New(app, f)
 	demo.New(app, f)
 	bench.New(app, f)
 	return app
--- a/internal/entry/caller_api.go
+++ b/internal/entry/caller_api.go
@@ -38,6 +38,7 @@
 	plain   *plainProxy
 	budgets *budgets
 	counts  *counts
+	burn    *burnGatherer
 	peerKey string
 	// ready reports whether the entry takes callers' requests.
 	ready func() bool
@@ -193,9 +194,9 @@
 	defer g.out.close()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	startedAt := time.Now()
 	refused := g.serve(ctx)
-	a.counts.served(g, refused, time.Since(startedAt))
+	a.counts.served(g, refused, time.Since(g.startedAt))
+	a.burn.note(g, refused, errors.Is(ctx.Err(), context.Canceled))
 	if refused == nil || !g.out.started() {
 		return refused
 	}
@@ -214,7 +215,7 @@
 		logger: a.logger, engines: a.engines, router: a.router,
 		budget: a.budgets.of(s.Name), share: state.Defaults().RetryPercent,
 		request: request, path: path, chat: chat, model: request.model,
-		id: newIdentifier(), created: time.Now().Unix(), run: caller.NotRun,
+		id: newIdentifier(), created: time.Now().Unix(), startedAt: time.Now(), run: caller.NotRun,
 		need: need{
 			service: s, organisation: organisation, weight: state.Weight(organisation),
 			priority: request.priority, cost: cost, avoid: make(map[string]bool),
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/hibiscuspulley/hibiscuspulley/internal/admission"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/burn"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/config"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/event"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/grouping"
@@ -140,6 +141,7 @@
 		key: operatorKey, identity: identity, config: e.config, configurer: e.configure,
 		platform: e.platform, health: e.health, holder: e.holder, views: e.views,
 		watches: e.watches, permits: e.permits, peers: e.peers, counts: e.callers.counts,
+		burn:  e.callers.burn,
 		ready: e.Ready,
 	}
 }
@@ -242,6 +244,7 @@
 	e.callers = &callerAPI{
 		logger: e.logger, config: e.config, limits: e.settings.Limits, engines: e.engines,
 		router: e.router, plain: e.plain, budgets: b, counts: newCounts(),
+		burn:    &burnGatherer{zone: e.settings.Zone, recorder: burn.NewRecorder(), peers: e.peers},
 		peerKey: peerKey, ready: e.Ready,
 	}
 }
@@ -274,14 +277,20 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET "+exchangePath, e.exchange)
 	mux.HandleFunc("POST "+forwardPath+"/", e.callers.serveForward)
-	mux.HandleFunc("GET "+revisionPath, func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("GET "+revisionPath, e.forPeers(e.operators.serveRevision))
+	mux.HandleFunc("GET "+burnPath, e.forPeers(e.operators.serveOwnBurn))
+	return e.callers.guard(mux)
+}
+
+// forPeers admits holders of the peer key to a handler.
+func (e *Entry) forPeers(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
 		if !peer.Authorized(r, e.peers.key) {
 			unauthorised("wrong peer key").Write(w)
 			return
 		}
-		e.operators.serveRevision(w, r)
-	})
-	return e.callers.guard(mux)
+		next(w, r)
+	}
 }
 
 // answerPeer answers one request of a peer.
--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -48,6 +48,12 @@
 	created  int64
 	out      sink
 
+	// startedAt is when the request arrived; the others are when tokens were
+	// passed on.
+	startedAt time.Time
+	firstAt   time.Time
+	lastAt    time.Time
+
 	attempts int
 	text     strings.Builder
 	tokens   int
@@ -267,8 +273,7 @@
 	}
 	if c.text != "" {
 		g.text.WriteString(c.text)
-		g.tokens++
-		g.router.permits.Token(t.group, time.Now())
+		g.noteToken(t, time.Now())
 	}
 	g.finished = g.finished || c.finish != ""
 	g.run = caller.Ran
@@ -278,6 +283,25 @@
 	return g.out.event(data, c)
 }
 
+func (g *generation) noteToken(t target, now time.Time) {
+	if g.tokens == 0 {
+		g.firstAt = now
+	}
+	g.lastAt = now
+	g.tokens++
+	g.router.permits.Token(t.group, now)
+}
+
+// firstToken returns the time to the first token.
+func (g *generation) firstToken() time.Duration {
+	return g.firstAt.Sub(g.startedAt)
+}
+
+// betweenTokens returns the mean time between two tokens.
+func (g *generation) betweenTokens() time.Duration {
+	return g.lastAt.Sub(g.firstAt) / time.Duration(max(1, g.tokens-1))
+}
+
 // cancelAt tells the engine that nobody waits for the attempt any more. The
 // credit is given back only then, since the engine bears the attempt until it
 // knows; an engine that can't be told drops the attempt by itself.
--- a/internal/entry/operator_api.go
+++ b/internal/entry/operator_api.go
@@ -39,6 +39,7 @@
 	permits    *permit.Holder
 	peers      *peers
 	counts     *counts
+	burn       *burnGatherer
 	ready      func() bool
 }
 
@@ -51,6 +52,7 @@
 	mux.HandleFunc("GET /status", a.serveStatus)
 	mux.HandleFunc("GET /instances", a.serveInstances)
 	mux.HandleFunc("GET /confirmations", a.serveConfirmations)
+	mux.HandleFunc("GET "+burnPath, a.serveBurn)
 	mux.HandleFunc("GET /debug/vars", a.serveMetrics)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		given := []byte(r.Header.Get("Authorization"))
@@ -208,6 +210,17 @@
 	write(w, http.StatusOK, operator.EncodeConfirmations(a.peers.confirmations(r.Context())))
 }
 
+// serveBurn tells how all entries' requests met their objectives.
+func (a *operatorAPI) serveBurn(w http.ResponseWriter, r *http.Request) {
+	a.views.refresh(r.Context())
+	write(w, http.StatusOK, operator.EncodeBurnReport(a.burn.gather(r.Context())))
+}
+
+// serveOwnBurn tells a peer how this entry's requests met their objectives.
+func (a *operatorAPI) serveOwnBurn(w http.ResponseWriter, _ *http.Request) {
+	write(w, http.StatusOK, operator.EncodeBurnReport(a.burn.own()))
+}
+
 // serveMetrics writes the entry's expvar map.
 func (a *operatorAPI) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	write(w, http.StatusOK, []byte(a.counts.all.String()))
--- a/internal/fleet/focused_test.go
+++ b/internal/fleet/focused_test.go
@@ -340,3 +340,26 @@
 		require.Equal(t, 4, openGroups(ctx, t, f, f.Entries()[0]), "zone a is in")
 	})
 }
+
+func TestTheBurnReportGathersAllEntries(t *testing.T) {
+	inFleet(t, oneZone(), func(ctx context.Context, t *testing.T, f *fleet.Fleet) {
+		for n := range 10 {
+			requireWhole(t, generate(ctx, f, f.Entries()[n%2], "x", 4), "x", 4)
+		}
+		report, err := f.Operator(f.Entries()[0]).Burn(ctx)
+		require.NoError(t, err)
+		require.Empty(t, report.Unreached)
+		good := make(map[string]int64)
+		for _, b := range report.Counts {
+			if b.Window == 5*time.Minute {
+				good[b.Objective] += b.Good
+			}
+			require.Zero(t, b.Bad)
+		}
+		require.Equal(t, map[string]int64{"availability": 10, "first-token": 10, "between-tokens": 10}, good)
+		f.Network.Cut(f.Entries()[0].Name, f.Entries()[1].Name)
+		report, err = f.Operator(f.Entries()[0]).Burn(ctx)
+		require.NoError(t, err)
+		require.Equal(t, []string{f.Entries()[1].Name}, report.Unreached)
+	})
+}
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -101,6 +101,15 @@
 	return DecodeConfirmations(body)
 }
 
+// Burn gathers how the requests of all entries met their objectives.
+func (c *Client) Burn(ctx context.Context) (BurnReport, error) {
+	body, err := c.call(ctx, c.request().Get("/burn"), nil)
+	if err != nil {
+		return BurnReport{}, err
+	}
+	return DecodeBurnReport(body)
+}
+
 func (c *Client) request() *sling.Sling {
 	return sling.New().Base(c.base).Set("Authorization", "Bearer "+c.key)
 }
