--- a/internal/formation/follow.go
+++ b/internal/formation/follow.go
@@ -84,7 +84,7 @@
 		if standing(g, l, srv) != outside {
 			continue
 		}
-		if s.needsLoad(srv, g.Model) && !s.loads.take(now, e, s.zones, s.loading(v, now)) && !s.ordered(l, g) {
+		if s.needsLoad(srv, g.Model) && !s.loads.take(now, e, s.zones, s.loading(v, now), s.lead) && !s.ordered(l, g) {
 			continue
 		}
 		s.order(now, l, Order{Operation: Join, Group: g.ID, Model: g.Model, Members: g.memberIDs()}, d)
--- a/internal/formation/loads.go
+++ b/internal/formation/loads.go
@@ -22,10 +22,14 @@
 func newLoadLimit() *loadLimit { return &loadLimit{} }
 
 // take reports whether one more load may start while so many are in progress.
-func (l *loadLimit) take(now time.Time, e *routes.Engine, zones, inProgress int) bool {
+// Before the first request the weight store has no bound on starts.
+func (l *loadLimit) take(now time.Time, e *routes.Engine, zones, inProgress int, lead bool) bool {
 	if inProgress >= max(e.LoadsAtOnce/zones, 1)+1 {
 		return false
 	}
+	if lead {
+		return true
+	}
 	perZone := rate.Limit(e.LoadsPerSecond * loadMargin / float64(zones))
 	if l.limiter == nil {
 		l.limiter = rate.NewLimiter(perZone, max(int(perZone), 1))
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -24,7 +24,7 @@
 			have[g.Model]++
 		}
 	}
-	for s.formNext(now, free, targets, have, e, d) {
+	for s.formNext(now, v, free, targets, have, e, d) {
 		continue
 	}
 	s.stage(now, v, free, e, d)
@@ -89,7 +89,7 @@
 }
 
 // formNext plans the group that is missed most, if a domain has the servers.
-func (s *Steward) formNext(now time.Time, free map[string][]*registry.Server, targets, have map[string]int, e *routes.Engine, d *Decision) bool {
+func (s *Steward) formNext(now time.Time, v *registry.View, free map[string][]*registry.Server, targets, have map[string]int, e *routes.Engine, d *Decision) bool {
 	models := slices.Clone(e.Models)
 	slices.SortFunc(models, func(a, b routes.Model) int {
 		fa := float64(have[a.Name]) / float64(targets[a.Name])
@@ -107,7 +107,7 @@
 		if have[m.Name] >= targets[m.Name] {
 			continue
 		}
-		domain, members := s.choose(free, m)
+		domain, members := s.choose(free, m, v)
 		if members == nil {
 			continue
 		}
@@ -128,7 +128,7 @@
 
 // choose returns the domain and servers that a group of the model can be
 // formed of the soonest.
-func (s *Steward) choose(free map[string][]*registry.Server, m routes.Model) (string, []*registry.Server) {
+func (s *Steward) choose(free map[string][]*registry.Server, m routes.Model, v *registry.View) (string, []*registry.Server) {
 	bestDomain, bestCost := "", math.MaxInt
 	var best []*registry.Server
 	for domain, servers := range free {
@@ -140,6 +140,9 @@
 			return s.joinCost(a, m.Name) - s.joinCost(b, m.Name)
 		})
 		members := ranked[:m.GroupSize]
+		if s.joinCost(members[m.GroupSize-1], m.Name) >= coldJoin && s.soonFree(domain, m.Name, v) {
+			continue
+		}
 		// The slowest member decides when the group is ready; a domain with
 		// more free servers is left with more spares.
 		cost := s.joinCost(members[m.GroupSize-1], m.Name)*1000 - len(servers)
@@ -150,6 +153,25 @@
 	return bestDomain, best
 }
 
+// soonFree reports whether a group of the model is about to end in the domain:
+// its members are warm, and free long before a load would be over.
+func (s *Steward) soonFree(domain, model string, v *registry.View) bool {
+	for _, g := range s.groups {
+		if g.Model != model || (g.Phase != Draining && g.Phase != Ending) {
+			continue
+		}
+		for _, l := range g.Members {
+			if srv := v.Servers[l.ID]; srv != nil && srv.Domain == domain {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// coldJoin is the join cost from which on weights are loaded.
+const coldJoin = 2
+
 // joinCost ranks how long the server's join would take.
 func (s *Steward) joinCost(srv *registry.Server, model string) int {
 	switch {
@@ -158,9 +180,9 @@
 	case slices.Contains(srv.Staged, model):
 		return 1
 	case len(srv.Staged) == 0:
-		return 2
+		return coldJoin
 	default:
-		return 3
+		return coldJoin + 1
 	}
 }
 
@@ -185,7 +207,7 @@
 				continue
 			}
 			model := slices.MinFunc(e.Models, func(a, b routes.Model) int { return staged[a.Name] - staged[b.Name] })
-			if !s.loads.take(now, e, s.zones, s.loading(v, now)) {
+			if !s.loads.take(now, e, s.zones, s.loading(v, now), s.lead) {
 				return
 			}
 			staged[model.Name]++
--- a/internal/formation/steward.go
+++ b/internal/formation/steward.go
@@ -50,6 +50,8 @@
 	// over remembers the members of ended groups until their servers show
 	// something else.
 	over map[registry.GroupID]bool
+	// lead says that no request has come yet since the fleet's first start.
+	lead bool
 }
 
 type orderKey struct {
@@ -137,6 +139,9 @@
 	s.sent[key] = sentOrder{at: now, outcome: outcome}
 }
 
+// Lead says whether the fleet still waits for its first request.
+func (s *Steward) Lead(lead bool) { s.lead = lead }
+
 // Step decides from the view, the service's engine and direct contacts.
 func (s *Steward) Step(now time.Time, v *registry.View, service string, e *routes.Engine, contact func(id string) Contact) Decision {
 	d := &Decision{}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,8 +33,10 @@
 	operatorWait = time.Second
 	// serverWait is the same for servers' entries, which change often.
 	serverWait = 4 * time.Second
-	// serverPace batches changes of servers' entries; each call is paid for.
-	serverPace = 100 * time.Millisecond
+	// serverPace and stewardPace batch changes of servers' entries; each call
+	// is paid for. The zone's steward repairs by them.
+	serverPace  = 300 * time.Millisecond
+	stewardPace = 100 * time.Millisecond
 	// idleMargin is how much longer than the configuration's limit idle
 	// connections are kept, so that callers' requests don't cross a close.
 	idleMargin = 2 * time.Second
@@ -196,21 +198,28 @@
 
 // follow keeps up with the operators' rows.
 func (g *Gateway) follow(ctx context.Context) {
-	f := g.follower(g.platform.OperatorTable, operatorWait, 0)
+	f := g.follower(g.platform.OperatorTable, operatorWait)
+	f.Pace = func() time.Duration { return 0 }
 	f.Apply = g.beliefs.apply
 	f.Run(ctx, g.platform.Store)
 }
 
 // followServers keeps up with the servers' entries.
 func (g *Gateway) followServers(ctx context.Context) {
-	f := g.follower(g.platform.ServerTable, serverWait, serverPace)
+	f := g.follower(g.platform.ServerTable, serverWait)
+	f.Pace = func() time.Duration {
+		if g.steward.leads.Load() {
+			return stewardPace
+		}
+		return serverPace
+	}
 	f.Apply = g.applyServers
 	f.Run(ctx, g.platform.Store)
 }
 
-func (g *Gateway) follower(table string, wait, pace time.Duration) *store.Follower {
+func (g *Gateway) follower(table string, wait time.Duration) *store.Follower {
 	return &store.Follower{
-		Table: table, Wait: wait, Pace: pace, Now: boottime.Now,
+		Table: table, Wait: wait, Now: boottime.Now,
 		Lost: func(err error) {
 			event.PlatformLost.Log(g.logger, logrus.Fields{"table": table, "error": err})
 		},
--- a/internal/gateway/stewardship.go
+++ b/internal/gateway/stewardship.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -49,6 +50,9 @@
 	kicks   chan struct{}
 	asks    *contacts
 
+	// leads says that this entry holds the lease.
+	leads atomic.Bool
+
 	mu sync.Mutex
 	// steward is set while this entry holds the lease.
 	steward     *formation.Steward
@@ -89,6 +93,7 @@
 		}
 		s.mu.Lock()
 		s.step(ctx)
+		s.leads.Store(s.steward != nil)
 		s.mu.Unlock()
 		timer.Reset(stepEvery)
 	}
@@ -109,6 +114,7 @@
 		return
 	}
 	v := s.gateway.registry.View()
+	s.steward.Lead(s.gateway.settings.FirstStart && s.gateway.metrics.requests.Value() == 0)
 	d := s.steward.Step(now, v, service, engine, s.asks.contact)
 	s.logNotes(d.Notes)
 	s.asks.ask(ctx, v, append(d.Suspects, s.stalledMembers(v)...))
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -28,6 +28,8 @@
 	PeerAddress string
 	// StoreAddress is the host and port of the platform's store.
 	StoreAddress string
+	// FirstStart says that the whole fleet starts for the first time.
+	FirstStart bool
 	// Bounds are what the operators promise their callers.
 	Bounds GatewayBounds
 	// LogLevel is a logrus level name.
@@ -81,6 +83,7 @@
 		MetricsAddress:   r.address(o, "metrics-address", false),
 		PeerAddress:      r.address(o, "peer-address", false),
 		StoreAddress:     r.address(o, "store-address", true),
+		FirstStart:       o.flag("first-start"),
 		LogLevel:         o.text("log-level", "info", false),
 		Bounds:           r.gatewayBounds(o.object("bounds", false)),
 	}
--- a/internal/settings/object.go
+++ b/internal/settings/object.go
@@ -134,6 +134,22 @@
 	return n
 }
 
+// flag returns a member that is true or false; false without one.
+func (o *object) flag(name string) bool {
+	value, found := o.take(name, false)
+	if !found {
+		return false
+	}
+	switch literal(value).Kind() {
+	case 't':
+		return true
+	case 'f':
+	default:
+		o.reader.note(value.StartOffset, o.full(name)+" is not true or false", "write true or false")
+	}
+	return false
+}
+
 // duration returns a member such as "2s" that is longer than 0.
 func (o *object) duration(name string, fallback time.Duration) time.Duration {
 	value, found := o.take(name, false)
--- a/internal/store/follower.go
+++ b/internal/store/follower.go
@@ -36,9 +36,9 @@
 	Table string
 	// Wait is how long the store may hold a call without changes.
 	Wait time.Duration
-	// Pace is the least time between two calls, so that rows that change often
-	// come in batches.
-	Pace time.Duration
+	// Pace returns the least time between two calls, so that rows that change
+	// often come in batches.
+	Pace func() time.Duration
 	// Apply takes each answer.
 	Apply func(Update)
 	// Lost and Regained learn of the first failed call and of the first
@@ -77,7 +77,7 @@
 		failing, whole, version = false, false, update.Version
 		wait.Reset()
 		f.Apply(update)
-		pause(ctx, f.Pace-f.Now().Sub(started))
+		pause(ctx, f.Pace()-f.Now().Sub(started))
 	}
 }
 
