--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,11 +74,13 @@
 	pool     *backend.Pool
 	steward  *stewardship
 	members  *members
-	stopping atomic.Bool
-	server   *http.Server
-	servers  []*http.Server
-	cancel   context.CancelFunc
-	wg       sync.WaitGroup
+	// neighbours are the zone's other entries.
+	neighbours *neighbours
+	stopping   atomic.Bool
+	server     *http.Server
+	servers    []*http.Server
+	cancel     context.CancelFunc
+	wg         sync.WaitGroup
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Window
@@ -112,6 +114,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
 	g.members = newMembers(g)
+	g.neighbours = newNeighbours(g)
 	g.steward = newStewardship(g)
 	if err := g.listen(); err != nil {
 		cancel()
@@ -122,6 +125,7 @@
 	g.loop(func() { g.followServers(ctx) })
 	g.loop(func() { g.members.run(ctx) })
 	g.loop(func() { g.steward.run(ctx) })
+	g.loop(func() { g.neighbours.run(ctx) })
 	g.loop(func() { g.sweep(ctx) })
 	return g, nil
 }
@@ -151,6 +155,13 @@
 	if err := g.serve(&http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout}, g.settings.ReadinessAddress); err != nil {
 		return err
 	}
+	if g.settings.PeerAddress != "" {
+		exchange := http.NewServeMux()
+		exchange.Handle(exchangePath, g.neighbours.server)
+		if err := g.serve(&http.Server{Handler: exchange, ReadHeaderTimeout: headerTimeout}, g.settings.PeerAddress); err != nil {
+			return err
+		}
+	}
 	if g.settings.MetricsAddress == "" {
 		return nil
 	}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -95,14 +95,15 @@
 		rows = append(rows, decoded)
 	}
 	m.watcher.Observe(sentAt, rows)
-	live := 0
+	live := make([]membership.Row, 0, len(rows))
 	for _, row := range rows {
 		if row.State == membership.Live && !m.watcher.Silent(row) {
-			live++
+			live = append(live, row)
 		}
 	}
-	m.live.Store(int64(max(live, 1)))
-	m.gateway.balancer.SetEntries(max(live, 1))
+	m.live.Store(int64(max(len(live), 1)))
+	m.gateway.balancer.SetEntries(max(len(live), 1))
+	m.gateway.neighbours.update(live)
 }
 
 func decodeSession(row store.Row) (membership.Row, error) {
--- /dev/null
+++ b/internal/gateway/neighbours.go
@@ -0,0 +1,189 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/event"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/membership"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/peer"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/registry"
+)
+
+const (
+	// exchangeEvery is how often entries of a zone tell each other what they
+	// have in flight: in that time an entry starts about one request.
+	exchangeEvery = 60 * time.Millisecond
+	exchangePath  = "/exchange"
+	// heardFor is how long a silent neighbour's requests still count.
+	heardFor = 2 * time.Second
+)
+
+// neighbours exchanges loads with the zone's other entries. Of each pair, the
+// entry whose name comes first asks; the reply carries the other one's loads.
+type neighbours struct {
+	gateway *Gateway
+	server  *peer.Server
+
+	mu    sync.Mutex
+	links map[string]*peer.Link
+	loads map[string]heardLoads
+}
+
+// heardLoads are one neighbour's loads and when they came.
+type heardLoads struct {
+	loads []peer.Load
+	at    time.Time
+}
+
+func newNeighbours(g *Gateway) *neighbours {
+	n := &neighbours{gateway: g, links: make(map[string]*peer.Link), loads: make(map[string]heardLoads)}
+	n.server = peer.NewServer(g.settings.PeerKey, n.answer, func(address string) {
+		event.PeerRefused.Log(g.logger, logrus.Fields{"address": address})
+	})
+	return n
+}
+
+func (n *neighbours) run(ctx context.Context) {
+	ticker := time.NewTicker(exchangeEvery)
+	defer ticker.Stop()
+	defer n.closeAll()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			n.exchange(ctx)
+		}
+	}
+}
+
+// update links to the zone's live entries.
+func (n *neighbours) update(rows []membership.Row) {
+	wanted := make(map[string]bool)
+	for _, row := range rows {
+		g := n.gateway
+		if row.Zone == g.settings.Zone && row.Address != "" && strings.Compare(g.settings.Name, row.Entry) < 0 {
+			wanted[row.Address] = true
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for address, link := range n.links {
+		if !wanted[address] {
+			delete(n.links, address)
+			n.gateway.loop(link.Close)
+		}
+	}
+	for address := range wanted {
+		if n.links[address] == nil {
+			n.links[address] = n.dial(address)
+		}
+	}
+}
+
+func (n *neighbours) dial(address string) *peer.Link {
+	return peer.NewLink("ws://"+address+exchangePath, n.gateway.settings.PeerKey,
+		peer.WithHTTPClient(&http.Client{}),
+		peer.WithState(func(connected bool) {
+			if connected {
+				event.PeerConnected.Log(n.gateway.logger, logrus.Fields{"address": address})
+				return
+			}
+			event.PeerLost.Log(n.gateway.logger, logrus.Fields{"address": address})
+		}))
+}
+
+func (n *neighbours) exchange(ctx context.Context) {
+	n.mu.Lock()
+	links := make([]*peer.Link, 0, len(n.links))
+	for _, link := range n.links {
+		links = append(links, link)
+	}
+	n.mu.Unlock()
+	request := peer.Request{Exchange: &peer.Exchange{
+		Entry: n.gateway.settings.Name, Zone: n.gateway.settings.Zone, Loads: n.own(),
+	}}
+	var wg sync.WaitGroup
+	for _, link := range links {
+		if !link.Connected() {
+			continue
+		}
+		wg.Go(func() {
+			reply, err := link.Call(ctx, request)
+			if err != nil || reply.Exchange == nil {
+				return // the link redials, and tells when it has lost the peer
+			}
+			n.heard(reply.Exchange.Entry, reply.Exchange.Loads)
+		})
+	}
+	wg.Wait()
+	n.apply()
+}
+
+// own returns what this entry has in flight.
+func (n *neighbours) own() []peer.Load {
+	now := time.Now()
+	stalled := make(map[registry.Lifetime]bool)
+	for _, l := range n.gateway.balancer.Stalled(now) {
+		stalled[l] = true
+	}
+	counts := n.gateway.balancer.InFlight()
+	loads := make([]peer.Load, 0, len(counts))
+	for l, count := range counts {
+		loads = append(loads, peer.Load{Server: l.ID, Born: l.Born, InFlight: count, Stalled: stalled[l]})
+	}
+	return loads
+}
+
+func (n *neighbours) answer(_ context.Context, r peer.Request) peer.Reply {
+	if r.Exchange == nil {
+		return peer.Reply{}
+	}
+	n.heard(r.Exchange.Entry, r.Exchange.Loads)
+	n.apply()
+	return peer.Reply{Exchange: &peer.ExchangeReply{
+		Entry: n.gateway.settings.Name, Zone: n.gateway.settings.Zone, Ready: n.gateway.Ready(), Loads: n.own(),
+	}}
+}
+
+func (n *neighbours) heard(entry string, loads []peer.Load) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loads[entry] = heardLoads{loads: loads, at: time.Now()}
+}
+
+// apply sums what the neighbours have in flight.
+func (n *neighbours) apply() {
+	now := time.Now()
+	sums := make(map[registry.Lifetime]int)
+	n.mu.Lock()
+	for entry, h := range n.loads {
+		if now.Sub(h.at) > heardFor {
+			delete(n.loads, entry)
+			continue
+		}
+		for _, l := range h.loads {
+			sums[registry.Lifetime{ID: l.Server, Born: l.Born}] += l.InFlight
+		}
+	}
+	n.mu.Unlock()
+	n.gateway.balancer.SetElsewhere(sums)
+	n.gateway.lines.Pump()
+}
+
+func (n *neighbours) closeAll() {
+	n.server.Close()
+	n.mu.Lock()
+	links := n.links
+	n.links = nil
+	n.mu.Unlock()
+	for _, link := range links {
+		link.Close()
+	}
+}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -16,6 +16,17 @@
 	Usage []Usage
 	// Orders lists the provisional orders that the sender knows.
 	Orders []Order
+	// Loads lists the backend servers that hold requests of the sender.
+	Loads []Load
+}
+
+// Load is what an entry has in flight at a lifetime of a backend server.
+type Load struct {
+	Server   string
+	Born     int64
+	InFlight int
+	// Stalled says that none of the entry's streams there advances.
+	Stalled bool
 }
 
 // Order is an order that the platform's table does not hold yet.
@@ -41,6 +52,7 @@
 	Ready  bool
 	Grants []permit.Grant
 	Orders []Order
+	Loads  []Load
 }
 
 // ConfigPull asks for the configuration changes behind a revision.
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -47,6 +47,7 @@
 	Demands  []demandWire `cbor:"4,keyasint,omitempty"`
 	Usage    []usageWire  `cbor:"5,keyasint,omitempty"`
 	Orders   []orderWire  `cbor:"6,keyasint,omitempty"`
+	Loads    []loadWire   `cbor:"20,keyasint,omitempty"`
 }
 
 type exchangeReplyWire struct {
@@ -56,6 +57,30 @@
 	Entry    string      `cbor:"4,keyasint"`
 	Zone     string      `cbor:"5,keyasint"`
 	Orders   []orderWire `cbor:"6,keyasint,omitempty"`
+	Loads    []loadWire  `cbor:"20,keyasint,omitempty"`
+}
+
+type loadWire struct {
+	Server   string `cbor:"1,keyasint"`
+	Born     int64  `cbor:"2,keyasint"`
+	InFlight int    `cbor:"3,keyasint,omitempty"`
+	Stalled  bool   `cbor:"4,keyasint,omitempty"`
+}
+
+func loadsToWire(loads []Load) []loadWire {
+	var wires []loadWire
+	for _, l := range loads {
+		wires = append(wires, loadWire{Server: l.Server, Born: l.Born, InFlight: l.InFlight, Stalled: l.Stalled})
+	}
+	return wires
+}
+
+func loadsFromWire(wires []loadWire) []Load {
+	var loads []Load
+	for _, w := range wires {
+		loads = append(loads, Load{Server: w.Server, Born: w.Born, InFlight: w.InFlight, Stalled: w.Stalled})
+	}
+	return loads
 }
 
 type configPullWire struct {
@@ -166,7 +191,9 @@
 }
 
 func exchangeToWire(e Exchange) *exchangeWire {
-	w := &exchangeWire{Entry: e.Entry, Zone: e.Zone, Revision: e.Revision, Orders: ordersToWire(e.Orders)}
+	w := &exchangeWire{
+		Entry: e.Entry, Zone: e.Zone, Revision: e.Revision, Orders: ordersToWire(e.Orders), Loads: loadsToWire(e.Loads),
+	}
 	for _, d := range e.Demands {
 		w.Demands = append(w.Demands, demandWire{
 			Group: d.Group, Want: d.Want, InFlight: d.InFlight, Applied: d.Applied,
@@ -181,7 +208,9 @@
 }
 
 func exchangeFromWire(w exchangeWire) *Exchange {
-	e := &Exchange{Entry: w.Entry, Zone: w.Zone, Revision: w.Revision, Orders: ordersFromWire(w.Orders)}
+	e := &Exchange{
+		Entry: w.Entry, Zone: w.Zone, Revision: w.Revision, Orders: ordersFromWire(w.Orders), Loads: loadsFromWire(w.Loads),
+	}
 	for _, d := range w.Demands {
 		e.Demands = append(e.Demands, permit.Demand{
 			Entry: w.Entry, Group: d.Group, Want: d.Want, InFlight: d.InFlight, Applied: d.Applied,
@@ -198,6 +227,7 @@
 func exchangeReplyToWire(r ExchangeReply) *exchangeReplyWire {
 	w := &exchangeReplyWire{
 		Entry: r.Entry, Zone: r.Zone, Revision: r.Revision, Ready: r.Ready, Orders: ordersToWire(r.Orders),
+		Loads: loadsToWire(r.Loads),
 	}
 	for _, g := range r.Grants {
 		w.Grants = append(w.Grants, grantWire{
@@ -211,6 +241,7 @@
 func exchangeReplyFromWire(w exchangeReplyWire) *ExchangeReply {
 	r := &ExchangeReply{
 		Entry: w.Entry, Zone: w.Zone, Revision: w.Revision, Ready: w.Ready, Orders: ordersFromWire(w.Orders),
+		Loads: loadsFromWire(w.Loads),
 	}
 	for _, g := range w.Grants {
 		r.Grants = append(r.Grants, permit.Grant{
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -26,6 +26,8 @@
 	MetricsAddress string
 	// PeerAddress takes the exchange between entries; empty for none.
 	PeerAddress string
+	// PeerKey is the shared secret of that exchange.
+	PeerKey string
 	// StoreAddress is the host and port of the platform's store.
 	StoreAddress string
 	// FirstStart says that the whole fleet starts for the first time.
@@ -82,6 +84,7 @@
 		ReadinessPath:    o.text("readiness-path", "/ready", false),
 		MetricsAddress:   r.address(o, "metrics-address", false),
 		PeerAddress:      r.address(o, "peer-address", false),
+		PeerKey:          o.text("peer-key", "", false),
 		StoreAddress:     r.address(o, "store-address", true),
 		FirstStart:       o.flag("first-start"),
 		LogLevel:         o.text("log-level", "info", false),
