--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -89,18 +89,25 @@
 	b.entries = max(n, 1)
 }
 
+// Elsewhere is what the zone's other entries have at a server.
+type Elsewhere struct {
+	InFlight int
+	// Stalled says that none of their streams advances.
+	Stalled bool
+}
+
 // SetElsewhere takes over what the zone's other entries have in flight.
-func (b *Balancer) SetElsewhere(counts map[registry.Lifetime]int) {
+func (b *Balancer) SetElsewhere(counts map[registry.Lifetime]Elsewhere) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for l, known := range b.loads {
-		known.elsewhere = counts[l]
-	}
-	for l, n := range counts {
+	for l := range counts {
 		if b.loads[l] == nil {
-			b.loads[l] = &load{elsewhere: n}
+			b.loads[l] = &load{}
 		}
 	}
+	for l, known := range b.loads {
+		known.elsewhere, known.stalledElsewhere = counts[l].InFlight, counts[l].Stalled
+	}
 }
 
 // InFlight returns the entry's own requests by server.
@@ -122,7 +129,7 @@
 	defer b.mu.Unlock()
 	var stalled []registry.Lifetime
 	for l, known := range b.loads {
-		if known.stalled(now) {
+		if known.stalled(now) || known.trips > 0 {
 			stalled = append(stalled, l)
 		}
 	}
@@ -187,7 +194,7 @@
 		slots = service.Engine.Slots
 	}
 	l := b.load(s)
-	if service.Engine != nil && l.stalled(now) {
+	if l.suspect(now) {
 		return 0, false
 	}
 	slots = max(slots, 1)
@@ -220,6 +227,9 @@
 	Failed
 	// Rejected requests were refused by the server.
 	Rejected
+	// Silent requests got nothing from a server that stands still or can't be
+	// reached.
+	Silent
 )
 
 // Done gives the place back.
@@ -235,10 +245,12 @@
 	switch r {
 	case Served:
 		t.load.failures *= 1 - failureWeight
-		t.load.progress = now
+		t.load.advance(now)
 	case Failed, Rejected:
 		t.load.failures += failureWeight * (1 - t.load.failures)
 		t.load.avoidUntil = now.Add(avoidFor)
+	case Silent:
+		t.load.trip(now)
 	case Left:
 	}
 }
@@ -247,7 +259,7 @@
 func (t *Ticket) Progress(now time.Time) {
 	t.balancer.mu.Lock()
 	defer t.balancer.mu.Unlock()
-	t.load.progress = now
+	t.load.advance(now)
 }
 
 // Stalled reports whether no stream of the server advances.
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -190,8 +190,9 @@
 	return slices.DeleteFunc(list, func(s *registry.Server) bool { return slices.Contains(remove, s) })
 }
 
-// stage loads the model of which a domain has the fewest staged spares onto
-// spares that have none.
+// stage loads weights onto spares that have none, in proportion to the models'
+// group sizes: the more members a group has, the more often it loses one, and
+// the survivors of two small groups can make up a new one.
 func (s *Steward) stage(now time.Time, v *registry.View, free map[string][]*registry.Server, e *routes.Engine, d *Decision) {
 	for _, servers := range free {
 		staged := make(map[string]int)
@@ -206,7 +207,9 @@
 			if len(srv.Staged) > 0 || len(srv.Loaded) > 0 || s.stagingAny(srv, e) || len(e.Models) == 0 {
 				continue
 			}
-			model := slices.MinFunc(e.Models, func(a, b routes.Model) int { return staged[a.Name] - staged[b.Name] })
+			model := slices.MinFunc(e.Models, func(a, b routes.Model) int {
+				return staged[a.Name]*b.GroupSize - staged[b.Name]*a.GroupSize
+			})
 			if !s.loads.take(now, e, s.zones, s.loading(v, now), s.lead) {
 				return
 			}
--- a/internal/formation/steward.go
+++ b/internal/formation/steward.go
@@ -17,7 +17,7 @@
 	// leaderGoneAfter is how long a leader must be without an entry and leave
 	// direct questions unanswered before its lifetime counts as over. A leader
 	// that is only cut off from the store answers them.
-	leaderGoneAfter = 3 * time.Second
+	leaderGoneAfter = 1500 * time.Millisecond
 	// resendAfter is how long an order may go unanswered or without effect; an
 	// answer takes some milliseconds.
 	resendAfter = time.Second
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,6 +37,8 @@
 	// is paid for. The zone's steward repairs by them.
 	serverPace  = 300 * time.Millisecond
 	stewardPace = 100 * time.Millisecond
+	// leadPace is that of entries that wait for the fleet's first request.
+	leadPace = time.Second
 	// idleMargin is how much longer than the configuration's limit idle
 	// connections are kept, so that callers' requests don't cross a close.
 	idleMargin = 2 * time.Second
@@ -219,10 +221,14 @@
 func (g *Gateway) followServers(ctx context.Context) {
 	f := g.follower(g.platform.ServerTable, serverWait)
 	f.Pace = func() time.Duration {
-		if g.steward.leads.Load() {
+		switch {
+		case g.steward.leads.Load():
 			return stewardPace
+		case g.settings.FirstStart && g.metrics.requests.Value() == 0:
+			return leadPace
+		default:
+			return serverPace
 		}
-		return serverPace
 	}
 	f.Apply = g.applyServers
 	f.Run(ctx, g.platform.Store)
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/hibiscuspulley/hibiscuspulley/internal/dispatch"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/event"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/membership"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/peer"
@@ -135,6 +136,11 @@
 	}
 	counts := n.gateway.balancer.InFlight()
 	loads := make([]peer.Load, 0, len(counts))
+	for l := range stalled {
+		if counts[l] == 0 {
+			loads = append(loads, peer.Load{Server: l.ID, Born: l.Born, Stalled: true})
+		}
+	}
 	for l, count := range counts {
 		loads = append(loads, peer.Load{Server: l.ID, Born: l.Born, InFlight: count, Stalled: stalled[l]})
 	}
@@ -161,7 +167,7 @@
 // apply sums what the neighbours have in flight.
 func (n *neighbours) apply() {
 	now := time.Now()
-	sums := make(map[registry.Lifetime]int)
+	sums := make(map[registry.Lifetime]dispatch.Elsewhere)
 	n.mu.Lock()
 	for entry, h := range n.loads {
 		if now.Sub(h.at) > heardFor {
@@ -169,7 +175,11 @@
 			continue
 		}
 		for _, l := range h.loads {
-			sums[registry.Lifetime{ID: l.Server, Born: l.Born}] += l.InFlight
+			id := registry.Lifetime{ID: l.Server, Born: l.Born}
+			sum := sums[id]
+			sum.InFlight += l.InFlight
+			sum.Stalled = sum.Stalled || l.Stalled
+			sums[id] = sum
 		}
 	}
 	n.mu.Unlock()
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -104,7 +104,9 @@
 	x, failure := g.send(ctx, c, t, "", !c.route.Repeatable())
 	if failure != nil {
 		c.note(t.Server.ID + " " + failure.Error())
-		if failure.Stage != backend.Unsent && !failure.Fresh {
+		if failure.Stage == backend.Unsent {
+			result = dispatch.Silent
+		} else if !failure.Fresh {
 			g.pool.Retire(t.Server.ID)
 		}
 		return nil, failure
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -136,11 +136,16 @@
 	reason := ""
 	defer func() {
 		watch.stop()
+		result := dispatch.Failed
 		if watch.stalled() {
 			paid, reason = true, "no event for too long"
+			if c.delivered == delivered || t.Stalled(time.Now()) {
+				result = dispatch.Silent
+			}
 		}
-		result := dispatch.Failed
 		switch {
+		case end == streamUnsent:
+			result = dispatch.Silent
 		case end == streamWhole:
 			result = dispatch.Served
 		case end == streamRejected:
