--- a/internal/formation/loads.go
+++ b/internal/formation/loads.go
@@ -14,21 +14,37 @@
 // each zone counts for itself.
 const loadMargin = 0.9
 
+// leadLoads is how many times as many loads run at once before the first
+// request as run at full speed.
+const leadLoads = 7
+
 // loadLimit paces the loads from the weight store that a zone starts.
 type loadLimit struct {
 	limiter *rate.Limiter
+	// rank is the zone's place among all zones: the first ones take the rest
+	// of what does not divide evenly.
+	rank int
 }
 
-func newLoadLimit() *loadLimit { return &loadLimit{} }
+func newLoadLimit(rank int) *loadLimit { return &loadLimit{rank: rank} }
+
+// atOnce returns the zone's part of the loads that run at full speed.
+func (l *loadLimit) atOnce(e *routes.Engine, zones int) int {
+	n := e.LoadsAtOnce / zones
+	if l.rank < e.LoadsAtOnce%zones {
+		n++
+	}
+	return max(n, 1)
+}
 
 // take reports whether one more load may start while so many are in progress.
 // Before the first request the weight store has no bound on starts.
 func (l *loadLimit) take(now time.Time, e *routes.Engine, zones, inProgress int, lead bool) bool {
-	if inProgress >= max(e.LoadsAtOnce/zones, 1)+1 {
-		return false
-	}
 	if lead {
-		return true
+		return inProgress < leadLoads*l.atOnce(e, zones)
+	}
+	if inProgress >= l.atOnce(e, zones) {
+		return false
 	}
 	perZone := rate.Limit(e.LoadsPerSecond * loadMargin / float64(zones))
 	if l.limiter == nil {
@@ -45,20 +61,29 @@
 	return !slices.Contains(srv.Staged, model) && !slices.Contains(srv.Loaded, model)
 }
 
-// loading counts the servers of the zone that are loading weights.
+// loading counts the servers of the zone that are loading weights: members
+// that join without having them, and spares that were told to stage them.
 func (s *Steward) loading(v *registry.View, now time.Time) int {
-	n := 0
-	counted := make(map[registry.Lifetime]bool)
+	loading := make(map[registry.Lifetime]bool)
 	for key, sent := range s.sent {
-		if counted[key.server] || (key.operation != Join && key.operation != Stage) {
-			continue
-		}
 		srv := v.Servers[key.server.ID]
 		if srv == nil || srv.Born != key.server.Born || !s.needsLoad(srv, key.model) {
 			continue
 		}
-		if sent.outcome == Begun || now.Sub(sent.at) < resendAfter {
-			counted[key.server] = true
+		recent := now.Sub(sent.at) < resendAfter
+		switch key.operation {
+		case Join:
+			joining := srv.Member != nil && srv.Member.Group == key.group && srv.Member.State == registry.Joining
+			loading[key.server] = loading[key.server] || joining || recent
+		case Stage:
+			begun := sent.outcome == Begun && now.Sub(sent.at) < formingTimeout && srv.Member == nil
+			loading[key.server] = loading[key.server] || begun || recent
+		case Open, Close, Leave:
+		}
+	}
+	n := 0
+	for _, is := range loading {
+		if is {
 			n++
 		}
 	}
--- a/internal/formation/steward.go
+++ b/internal/formation/steward.go
@@ -69,14 +69,15 @@
 // epochStep is how many groups one term of stewardship can form.
 const epochStep = 1 << 20
 
-// NewSteward returns the Steward of a zone, one of so many zones. The term is
+// NewSteward returns the Steward of a zone, one of all zones. The term is
 // higher than that of every earlier steward of the zone; recorded are the
 // groups that the store holds.
-func NewSteward(zone string, zones int, term uint64, recorded []*Group) *Steward {
+func NewSteward(zone string, zones []string, term uint64, recorded []*Group) *Steward {
+	rank := max(slices.Index(slices.Sorted(slices.Values(zones)), zone), 0)
 	s := &Steward{
-		zone: zone, zones: max(zones, 1), epoch: int64(term) * epochStep,
+		zone: zone, zones: max(len(zones), 1), epoch: int64(term) * epochStep,
 		groups: make(map[registry.GroupID]*Group), sent: make(map[orderKey]sentOrder),
-		loads: newLoadLimit(), over: make(map[registry.GroupID]bool),
+		loads: newLoadLimit(rank), over: make(map[registry.GroupID]bool),
 	}
 	for _, g := range recorded {
 		s.groups[g.ID] = g
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -269,6 +269,7 @@
 	fields := logrus.Fields{"server": c.ID, "row-version": version}
 	if s := c.Server; s != nil {
 		fields["leaving"], fields["zone"], fields["born"] = s.Leaving, s.Zone, s.Born
+		fields["domain"], fields["staged"], fields["loaded"] = s.Domain, s.Staged, s.Loaded
 		if m := s.Member; m != nil {
 			fields["group"], fields["rank"], fields["state"] = m.Group.Name, m.Rank, string(m.State)
 		}
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -20,22 +20,34 @@
 	// exchangeEvery is how often entries of a zone tell each other what they
 	// have in flight: in that time an entry starts about one request.
 	exchangeEvery = 60 * time.Millisecond
-	exchangePath  = "/exchange"
+	// farExchangeEvery is the same between zones, where bytes are dear.
+	farExchangeEvery = 300 * time.Millisecond
+	exchangePath     = "/exchange"
 	// heardFor is how long a silent neighbour's requests still count.
 	heardFor = 2 * time.Second
 )
 
-// neighbours exchanges loads with the zone's other entries. Of each pair, the
-// entry whose name comes first asks; the reply carries the other one's loads.
+// neighbours exchanges loads with the other entries: all loads within the
+// zone, and between zones those at the asked or asking entry's own servers.
+// Of each pair, the entry whose name comes first asks; the reply carries the
+// other one's loads.
 type neighbours struct {
 	gateway *Gateway
 	server  *peer.Server
 
 	mu    sync.Mutex
-	links map[string]*peer.Link
+	links map[string]*neighbour
 	loads map[string]heardLoads
 }
 
+// neighbour is an entry that this one asks.
+type neighbour struct {
+	zone  string
+	link  *peer.Link
+	asked time.Time
+	busy  bool
+}
+
 // heardLoads are one neighbour's loads and when they came.
 type heardLoads struct {
 	loads []peer.Load
@@ -43,7 +55,7 @@
 }
 
 func newNeighbours(g *Gateway) *neighbours {
-	n := &neighbours{gateway: g, links: make(map[string]*peer.Link), loads: make(map[string]heardLoads)}
+	n := &neighbours{gateway: g, links: make(map[string]*neighbour), loads: make(map[string]heardLoads)}
 	n.server = peer.NewServer(g.settings.PeerKey, n.answer, func(address string) {
 		event.PeerRefused.Log(g.logger, logrus.Fields{"address": address})
 	})
@@ -66,24 +78,23 @@
 
 // update links to the zone's live entries.
 func (n *neighbours) update(rows []membership.Row) {
-	wanted := make(map[string]bool)
+	wanted := make(map[string]string)
 	for _, row := range rows {
-		g := n.gateway
-		if row.Zone == g.settings.Zone && row.Address != "" && strings.Compare(g.settings.Name, row.Entry) < 0 {
-			wanted[row.Address] = true
+		if row.Address != "" && strings.Compare(n.gateway.settings.Name, row.Entry) < 0 {
+			wanted[row.Address] = row.Zone
 		}
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for address, link := range n.links {
-		if !wanted[address] {
+	for address, known := range n.links {
+		if wanted[address] == "" {
 			delete(n.links, address)
-			n.gateway.loop(link.Close)
+			n.gateway.loop(known.link.Close)
 		}
 	}
-	for address := range wanted {
-		if n.links[address] == nil {
-			n.links[address] = n.dial(address)
+	for address, zone := range wanted {
+		if n.links[address] == nil && n.links != nil {
+			n.links[address] = &neighbour{zone: zone, link: n.dial(address)}
 		}
 	}
 }
@@ -101,34 +112,46 @@
 }
 
 func (n *neighbours) exchange(ctx context.Context) {
+	now := time.Now()
 	n.mu.Lock()
-	links := make([]*peer.Link, 0, len(n.links))
-	for _, link := range n.links {
-		links = append(links, link)
+	var due []*neighbour
+	for _, known := range n.links {
+		every := exchangeEvery
+		if known.zone != n.gateway.settings.Zone {
+			every = farExchangeEvery
+		}
+		if !known.busy && known.link.Connected() && now.Sub(known.asked) >= every-exchangeEvery/2 {
+			known.busy, known.asked = true, now
+			due = append(due, known)
+		}
 	}
 	n.mu.Unlock()
-	request := peer.Request{Exchange: &peer.Exchange{
-		Entry: n.gateway.settings.Name, Zone: n.gateway.settings.Zone, Loads: n.own(),
-	}}
-	var wg sync.WaitGroup
-	for _, link := range links {
-		if !link.Connected() {
-			continue
-		}
-		wg.Go(func() {
-			reply, err := link.Call(ctx, request)
-			if err != nil || reply.Exchange == nil {
-				return // the link redials, and tells when it has lost the peer
-			}
-			n.heard(reply.Exchange.Entry, reply.Exchange.Loads)
-		})
+	for _, known := range due {
+		n.gateway.loop(func() { n.ask(ctx, known) })
 	}
-	wg.Wait()
 	n.apply()
 }
 
-// own returns what this entry has in flight.
-func (n *neighbours) own() []peer.Load {
+func (n *neighbours) ask(ctx context.Context, known *neighbour) {
+	reply, err := known.link.Call(ctx, peer.Request{Exchange: &peer.Exchange{
+		Entry: n.gateway.settings.Name, Zone: n.gateway.settings.Zone, Loads: n.own(known.zone),
+	}})
+	// After a failure the link redials, and tells when it has lost the peer.
+	if err == nil && reply.Exchange != nil {
+		n.heard(reply.Exchange.Entry, reply.Exchange.Loads)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	known.busy = false
+}
+
+// own returns what this entry has in flight, for an entry of the zone.
+func (n *neighbours) own(zone string) []peer.Load {
+	servers := n.gateway.registry.View().Servers
+	concerns := func(l registry.Lifetime) bool {
+		s := servers[l.ID]
+		return zone == n.gateway.settings.Zone || (s != nil && (s.Zone == zone || s.Zone == n.gateway.settings.Zone))
+	}
 	now := time.Now()
 	stalled := make(map[registry.Lifetime]bool)
 	for _, l := range n.gateway.balancer.Stalled(now) {
@@ -137,12 +160,14 @@
 	counts := n.gateway.balancer.InFlight()
 	loads := make([]peer.Load, 0, len(counts))
 	for l := range stalled {
-		if counts[l] == 0 {
+		if counts[l] == 0 && concerns(l) {
 			loads = append(loads, peer.Load{Server: l.ID, Born: l.Born, Stalled: true})
 		}
 	}
 	for l, count := range counts {
-		loads = append(loads, peer.Load{Server: l.ID, Born: l.Born, InFlight: count, Stalled: stalled[l]})
+		if concerns(l) {
+			loads = append(loads, peer.Load{Server: l.ID, Born: l.Born, InFlight: count, Stalled: stalled[l]})
+		}
 	}
 	return loads
 }
@@ -154,7 +179,7 @@
 	n.heard(r.Exchange.Entry, r.Exchange.Loads)
 	n.apply()
 	return peer.Reply{Exchange: &peer.ExchangeReply{
-		Entry: n.gateway.settings.Name, Zone: n.gateway.settings.Zone, Ready: n.gateway.Ready(), Loads: n.own(),
+		Entry: n.gateway.settings.Name, Zone: n.gateway.settings.Zone, Ready: n.gateway.Ready(), Loads: n.own(r.Exchange.Zone),
 	}}
 }
 
@@ -193,7 +218,7 @@
 	links := n.links
 	n.links = nil
 	n.mu.Unlock()
-	for _, link := range links {
-		link.Close()
+	for _, known := range links {
+		known.link.Close()
 	}
 }
