--- a/internal/formation/steward.go
+++ b/internal/formation/steward.go
@@ -52,6 +52,9 @@
 	over map[registry.GroupID]bool
 	// lead says that no request has come yet since the fleet's first start.
 	lead bool
+	// known are the lifetimes seen so far, and arrivedAt when the last came.
+	known     map[registry.Lifetime]bool
+	arrivedAt time.Time
 }
 
 type orderKey struct {
@@ -77,7 +80,7 @@
 	s := &Steward{
 		zone: zone, zones: max(len(zones), 1), epoch: int64(term) * epochStep,
 		groups: make(map[registry.GroupID]*Group), sent: make(map[orderKey]sentOrder),
-		loads: newLoadLimit(rank), over: make(map[registry.GroupID]bool),
+		loads: newLoadLimit(rank), over: make(map[registry.GroupID]bool), known: make(map[registry.Lifetime]bool),
 	}
 	for _, g := range recorded {
 		s.groups[g.ID] = g
@@ -150,7 +153,9 @@
 	for _, g := range s.Groups() {
 		s.follow(g, now, v, e, contact, d)
 	}
-	s.plan(now, v, service, e, contact, d)
+	if !s.arriving(now, v, service) {
+		s.plan(now, v, service, e, contact, d)
+	}
 	for id, g := range s.groups {
 		if g.Phase == Over {
 			delete(s.groups, id)
@@ -221,6 +226,25 @@
 	d.Orders = append(d.Orders, o)
 }
 
+// arrivalPause is how long no new server may have come before groups are
+// planned at the fleet's first start: a plan over half of the servers puts
+// groups and spares unevenly into domains.
+const arrivalPause = 400 * time.Millisecond
+
+// arriving reports whether the fleet starts and its servers still register.
+func (s *Steward) arriving(now time.Time, v *registry.View, service string) bool {
+	if !s.lead {
+		return false
+	}
+	for _, srv := range v.Servers {
+		if srv.Zone == s.zone && srv.Service == service && !s.known[srv.Lifetime()] {
+			s.known[srv.Lifetime()] = true
+			s.arrivedAt = now
+		}
+	}
+	return now.Sub(s.arrivedAt) < arrivalPause
+}
+
 func (s *Steward) nextID() registry.GroupID {
 	s.number++
 	epoch := s.epoch + s.number
