--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -110,6 +110,29 @@
 	return allowed
 }
 
+// mayRunElsewhere reports whether the route lets the request go to one more
+// server.
+func (g *Gateway) mayRunElsewhere(c *call) bool {
+	return c.sent < c.route.MaxAttempts+unbegunSends && g.attemptsLeft(c, false)
+}
+
+// attemptsLeft reports whether the request may begin at one more server. One
+// where it began counts unless it has ended since; begunNow adds the server
+// that has it now.
+func (g *Gateway) attemptsLeft(c *call, begunNow bool) bool {
+	servers := g.registry.View().Servers
+	n := 0
+	if begunNow {
+		n++
+	}
+	for _, l := range c.ran {
+		if s := servers[l.ID]; s != nil && s.Born == l.Born {
+			n++
+		}
+	}
+	return n < c.route.MaxAttempts
+}
+
 // copyAnswerHeader passes on the server's headers.
 func copyAnswerHeader(to, from http.Header) {
 	removeHopByHop(from)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -15,6 +15,7 @@
 	"github.com/hibiscuspulley/hibiscuspulley/internal/backend"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/boottime"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/event"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/registry"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/routes"
 )
 
@@ -48,6 +49,8 @@
 	tried map[string]bool
 	// sent counts the servers that may have run the request.
 	sent int
+	// ran are the servers at which it began to run.
+	ran []registry.Lifetime
 	// trail explains the attempts in the request's log line.
 	trail []string
 	// resumed is the value of sent at the last logged resume.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -16,9 +16,9 @@
 	"github.com/hibiscuspulley/hibiscuspulley/internal/sse"
 )
 
-// deadServers is how many servers that stopped in the middle of a stream may
-// be replaced beyond the route's attempts.
-const deadServers = 2
+// unbegunSends is how many sends beyond the route's attempts a stream may
+// have: a request that got no event has not begun to run.
+const unbegunSends = 1
 
 // streamEnd is how one attempt of a stream ended.
 type streamEnd int
@@ -58,7 +58,7 @@
 		gateway: g, call: c, w: w, flusher: http.NewResponseController(w), last: c.ask.LastEvent,
 	}
 	paid := false
-	for tries := range unsentTries + c.route.MaxAttempts + deadServers {
+	for tries := range unsentTries + c.route.MaxAttempts + unbegunSends {
 		if c.sent > 0 && !paid && !g.mayRepeat(c) {
 			break
 		}
@@ -94,8 +94,10 @@
 		case streamBroken, streamFailed:
 		}
 		c.sent++
-		if !c.route.Repeatable() || c.sent >= c.route.MaxAttempts+deadServers ||
-			(end == streamFailed && c.sent >= c.route.MaxAttempts) {
+		if end == streamFailed {
+			c.ran = append(c.ran, t.Server.Lifetime())
+		}
+		if !c.route.Repeatable() || !g.mayRunElsewhere(c) {
 			break
 		}
 	}
@@ -130,8 +132,11 @@
 	g, c := s.gateway, s.call
 	c.tried[t.Server.ID] = true
 	began, delivered := time.Now(), c.delivered
-	attemptCtx, watch := newWatchdog(ctx, t, func() bool {
-		return c.route.Repeatable() && c.sent+1 < c.route.MaxAttempts+deadServers && g.mayRepeat(c)
+	attemptCtx, watch := newWatchdog(ctx, t, func(begun bool) bool {
+		if !c.route.Repeatable() || c.sent+1 >= c.route.MaxAttempts+unbegunSends {
+			return false
+		}
+		return g.attemptsLeft(c, begun) && g.mayRepeat(c)
 	})
 	reason := ""
 	defer func() {
@@ -153,6 +158,9 @@
 		case errors.Is(ctx.Err(), context.Canceled):
 			end, result = streamLeft, dispatch.Left
 		}
+		if c.delivered > delivered {
+			c.ran = append(c.ran, t.Server.Lifetime())
+		}
 		c.note(t.Server.ID + " " + strconv.Itoa(c.delivered-delivered) + " events in " +
 			time.Since(began).Round(time.Millisecond).String() + " " + reason)
 		t.Done(time.Now(), result)
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -22,16 +22,19 @@
 type watchdog struct {
 	cancel    context.CancelFunc
 	ticket    *dispatch.Ticket
-	mayRepeat func() bool
+	// mayRepeat decides, and pays, whether the request goes on elsewhere; begun
+	// says that events have come from this server.
+	mayRepeat func(begun bool) bool
 
 	mu      sync.Mutex
 	timer   *time.Timer
 	last    time.Time
+	begun   bool
 	stopped bool
 	fired   bool
 }
 
-func newWatchdog(ctx context.Context, t *dispatch.Ticket, mayRepeat func() bool) (context.Context, *watchdog) {
+func newWatchdog(ctx context.Context, t *dispatch.Ticket, mayRepeat func(begun bool) bool) (context.Context, *watchdog) {
 	ctx, cancel := context.WithCancel(ctx)
 	d := &watchdog{cancel: cancel, ticket: t, mayRepeat: mayRepeat, last: time.Now()}
 	d.mu.Lock()
@@ -49,7 +52,7 @@
 	now := time.Now()
 	silent := now.Sub(d.last)
 	if (silent > watchEvery && d.ticket.Stalled(now)) || silent > silentAfter {
-		if d.mayRepeat() {
+		if d.mayRepeat(d.begun) {
 			d.fired = true
 			d.stopped = true
 			d.cancel()
@@ -63,7 +66,7 @@
 func (d *watchdog) progress(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.last = now
+	d.last, d.begun = now, true
 }
 
 // stop ends the watch and releases its context.
