Formation: a leader is told to join only once

Cause, found by the property (one case in 2,267): with orders carried out late, a second copy of a leader's join ran after the leader had left, then a late open, and the ended group served again. A leader that does not take its join within 1.5 s costs the group; members may be told again, since only a leader can open.

--- a/internal/formation/follow.go
+++ b/internal/formation/follow.go
@@ -65,6 +65,9 @@
 	if model, known := e.Model(g.Model); why == nil && known && len(g.Members) != model.GroupSize {
 		why = &loss{reason: "it lacks members"}
 	}
+	if why == nil && s.leaderUnanswered(g, now, v) {
+		why = &loss{reason: "its leader did not take the order to join"}
+	}
 	switch {
 	case why != nil && g.mayOpen:
 		s.move(g, Ending, now, why.reason, d)
@@ -81,7 +84,7 @@
 	}
 	for _, l := range g.Members {
 		srv := v.Servers[l.ID]
-		if standing(g, l, srv) != outside {
+		if standing(g, l, srv) != outside || (l == g.leader() && s.ordered(l, g)) {
 			continue
 		}
 		if s.needsLoad(srv, g.Model) && !s.loads.take(now, e, s.zones, s.loading(v, now), s.lead) && !s.ordered(l, g) {
@@ -96,6 +99,22 @@
 	s.order(now, g.leader(), Order{Operation: Open, Group: g.ID}, d)
 }
 
+// leaderUnanswered reports whether the leader still stands outside although it
+// was told to join. It is told only once: a second order could be carried out
+// after the leader has left, and a late open would then let the group serve
+// again. Inherited groups may have had that order from an earlier steward.
+func (s *Steward) leaderUnanswered(g *Group, now time.Time, v *registry.View) bool {
+	l := g.leader()
+	if standing(g, l, v.Servers[l.ID]) != outside {
+		return false
+	}
+	sent, found := s.sent[orderKey{l, Join, g.ID, g.Model}]
+	if !found {
+		return g.mayOpen
+	}
+	return sent.outcome != Begun && now.Sub(sent.at) > leaderJoinTimeout
+}
+
 // ordered reports whether the member was told to join before.
 func (s *Steward) ordered(l registry.Lifetime, g *Group) bool {
 	_, found := s.sent[orderKey{l, Join, g.ID, g.Model}]
--- a/internal/formation/steward.go
+++ b/internal/formation/steward.go
@@ -22,6 +22,9 @@
 	// resendAfter is how long an order may go unanswered or without effect; an
 	// answer takes some milliseconds.
 	resendAfter = time.Second
+	// leaderJoinTimeout is how long a leader's join may go without an answer and
+	// without effect; servers tell of changes within a round trip.
+	leaderJoinTimeout = 1500 * time.Millisecond
 	// formingTimeout bounds a group's formation: the longest load, slowed by
 	// others.
 	formingTimeout = 45 * time.Second
