--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,6 +48,12 @@
 	maxHeaderBytes = 64 << 10
 	// headerTimeout bounds the time to read a request's head.
 	headerTimeout = 10 * time.Second
+	// serveWhileStopping is how long after SIGTERM requests are still taken: the
+	// balancer sends new connections for two more questions, and a stream that
+	// begins later would not end in time.
+	serveWhileStopping = 3 * time.Second
+	// idleCheck is how often a stopping entry looks whether it may end.
+	idleCheck = 100 * time.Millisecond
 	// graceUsed is the part of the grace time after which requests in progress
 	// are cut.
 	graceUsed = 5.0 / 6
@@ -79,10 +85,13 @@
 	// neighbours are the zone's other entries.
 	neighbours *neighbours
 	stopping   atomic.Bool
-	server     *http.Server
-	servers    []*http.Server
-	cancel     context.CancelFunc
-	wg         sync.WaitGroup
+	// stoppedAt is when stopping began, in Unix nanoseconds.
+	stoppedAt atomic.Int64
+	inFlight  atomic.Int64
+	server    *http.Server
+	servers   []*http.Server
+	cancel    context.CancelFunc
+	wg        sync.WaitGroup
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Window
@@ -292,15 +301,18 @@
 	}
 }
 
+func (g *Gateway) stopBegan() time.Time { return time.Unix(0, g.stoppedAt.Load()) }
+
 // Shutdown takes the entry out of rotation, goes on serving open connections
 // while callers use them, and ends within the grace time.
 func (g *Gateway) Shutdown(ctx context.Context) {
+	g.stoppedAt.Store(time.Now().UnixNano())
 	g.stopping.Store(true)
 	event.Stopping.Log(g.logger, logrus.Fields{})
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(float64(g.settings.Bounds.Grace)*graceUsed))
 	defer cancel()
 	g.steward.resign(ctx)
-	<-ctx.Done()
+	g.awaitIdle(ctx)
 	g.cancel()
 	for _, s := range g.servers {
 		_ = s.Close()
@@ -309,6 +321,24 @@
 	event.Stopped.Log(g.logger, logrus.Fields{})
 }
 
+// awaitIdle returns once no request is served and none would be, or when ctx
+// ends.
+func (g *Gateway) awaitIdle(ctx context.Context) {
+	ticker := time.NewTicker(idleCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			event.ShutdownTimedOut.Log(g.logger, logrus.Fields{"requests": g.inFlight.Load()})
+			return
+		case now := <-ticker.C:
+			if g.inFlight.Load() == 0 && now.Sub(g.stopBegan()) > serveWhileStopping+idleCheck {
+				return
+			}
+		}
+	}
+}
+
 // lastAddress returns the address of a server that has no entry any more.
 func (g *Gateway) lastAddress(id string) string {
 	if s := g.registry.View().Former[id]; s != nil {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -65,8 +65,14 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.metrics.requests.Add(1)
 	c := &call{ask: g.platform.Protocol.DecodeRequest(r.Header), started: time.Now(), tried: map[string]bool{}}
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
+		if c.started.Sub(g.stopBegan()) > serveWhileStopping {
+			g.refuse(w, c, http.StatusServiceUnavailable, staleRetryAfter, "the entry is about to stop")
+			return
+		}
 	}
 	if !g.admit(w, r, c) {
 		return
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -20,8 +20,8 @@
 // watchdog ends an attempt whose server or connection has gone silent, if the
 // request may go on elsewhere.
 type watchdog struct {
-	cancel    context.CancelFunc
-	ticket    *dispatch.Ticket
+	cancel context.CancelFunc
+	ticket *dispatch.Ticket
 	// mayRepeat decides, and pays, whether the request goes on elsewhere; begun
 	// says that events have come from this server.
 	mayRepeat func(begun bool) bool
