--- a/internal/formation/property_test.go
+++ b/internal/formation/property_test.go
@@ -1,6 +1,7 @@
 package formation_test
 
 import (
+	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -56,6 +57,58 @@
 	require.Empty(t, w.broken)
 }
 
+// Groups and spares planned together spread evenly, so that each domain can
+// repair its own groups.
+func TestDomainsGetAnEvenPartOfGroupsAndSpares(t *testing.T) {
+	w := newWorld(20)
+	w.steward.Lead(true)
+	w.run(10*time.Second, onTime)
+	for _, domain := range []string{"d0", "d1"} {
+		groups, spares := map[string]int{}, map[string]int{}
+		for _, h := range w.hosts {
+			switch {
+			case h.domain != domain:
+			case h.member == nil:
+				spares[h.staged]++
+			case h.member.state == registry.Open:
+				groups[h.member.model]++
+			}
+		}
+		require.Equal(t, map[string]int{"large": 1, "small": 2}, groups, domain)
+		require.Equal(t, map[string]int{"large": 1, "small": 1}, spares, domain)
+	}
+}
+
+// Two members are lost again and again, and empty servers come: what is left
+// of the groups forms new ones at once, and no ready member waits for one that
+// loads its weights.
+func TestSurvivorsDontWaitForLoads(t *testing.T) {
+	w := newWorld(20)
+	w.steward.Lead(true)
+	w.run(10*time.Second, onTime)
+	w.steward.Lead(false)
+	for loss := range 6 {
+		lost := 0
+		for _, id := range w.hostIDs() {
+			if h := w.hosts[id]; h.alive && h.member != nil && lost < 2 && (loss+len(id))%2 == 0 {
+				w.crash(id)
+				lost++
+			}
+		}
+		w.add(fmt.Sprintf("n%d", loss), fmt.Sprintf("d%d", loss%2))
+		for range 40 {
+			w.run(tick, onTime)
+			for id, h := range w.hosts {
+				if m := h.member; m != nil && m.state == registry.Joining {
+					require.LessOrEqual(t, m.readyAt.Sub(w.now), time.Second, id+" loads while its group waits")
+				}
+			}
+		}
+	}
+	require.Empty(t, w.broken)
+	require.GreaterOrEqual(t, w.openGroups("large")+w.openGroups("small"), 3)
+}
+
 // A member falls silent in an open group: the group serves again with a spare.
 func TestASilentMemberIsReplacedByAStagedSpare(t *testing.T) {
 	w := newWorld(20)
--- a/internal/formation/steward.go
+++ b/internal/formation/steward.go
@@ -51,6 +51,10 @@
 	groups map[registry.GroupID]*Group
 	sent   map[orderKey]sentOrder
 	loads  *loadLimit
+	// domains holds the domain of each group that was planned or inherited.
+	domains map[registry.GroupID]string
+	// now is the time of the current step.
+	now time.Time
 	// forget lists groups whose record has become needless.
 	forget []registry.GroupID
 	// lead says that no request has come yet since the fleet's first start.
@@ -82,7 +86,7 @@
 	rank := max(slices.Index(slices.Sorted(slices.Values(zones)), zone), 0)
 	s := &Steward{
 		zone: zone, zones: max(len(zones), 1), epoch: int64(term) * epochStep,
-		groups: make(map[registry.GroupID]*Group), sent: make(map[orderKey]sentOrder),
+		groups: make(map[registry.GroupID]*Group), sent: make(map[orderKey]sentOrder), domains: make(map[registry.GroupID]string),
 		loads: newLoadLimit(rank), known: make(map[registry.Lifetime]bool),
 	}
 	s.inherit(recorded)
@@ -176,7 +180,13 @@
 
 // Step decides from the view, the service's engine and direct contacts.
 func (s *Steward) Step(now time.Time, v *registry.View, service string, e *routes.Engine, contact func(id string) Contact) Decision {
+	s.now = now
 	d := &Decision{}
+	for id, g := range s.groups {
+		if leader := v.Servers[g.leader().ID]; leader != nil && s.domains[id] == "" {
+			s.domains[id] = leader.Domain
+		}
+	}
 	for _, g := range s.Groups() {
 		s.follow(g, now, v, e, contact, d)
 	}
@@ -186,6 +196,7 @@
 	for id, g := range s.groups {
 		if g.Phase == Over {
 			delete(s.groups, id)
+			delete(s.domains, id)
 			s.forget = append(s.forget, id)
 		}
 	}
--- a/internal/gateway/contacts.go
+++ b/internal/gateway/contacts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -21,6 +22,10 @@
 	// askEvery is the least time between two questions to one server; each is
 	// paid for.
 	askEvery = 300 * time.Millisecond
+	// askOften is how long a silent server is asked at that interval, and
+	// askSeldom the interval after that.
+	askOften  = 3 * time.Second
+	askSeldom = 2 * time.Second
 )
 
 // contacts asks servers directly that are suspected of being gone.
@@ -68,19 +73,13 @@
 		}
 	}
 	for id, s := range c.known {
-		if _, listed := v.Servers[id]; !listed && s.FailingSince.IsZero() && now.Sub(s.askedAt) > time.Minute {
+		suspected := slices.Contains(suspects, id)
+		_, listed := v.Servers[id]
+		if !suspected && (!listed || s.FailingSince.IsZero()) {
 			delete(c.known, id)
 			continue
 		}
-		suspected := !s.FailingSince.IsZero()
-		for _, suspect := range suspects {
-			suspected = suspected || suspect == id
-		}
-		if !suspected || s.asking || s.address == "" || now.Sub(s.askedAt) < askEvery {
-			continue
-		}
-		if !s.FailingSince.IsZero() && now.Sub(s.FailingSince) > time.Minute {
-			delete(c.known, id)
+		if s.asking || s.address == "" || now.Sub(s.askedAt) < s.interval(now, suspected) {
 			continue
 		}
 		s.asking, s.askedAt = true, now
@@ -89,6 +88,15 @@
 	}
 }
 
+// interval returns the time between two questions: short while an answer
+// decides about a group, long once the silence is known.
+func (s *contactState) interval(now time.Time, suspected bool) time.Duration {
+	if suspected && (s.FailingSince.IsZero() || now.Sub(s.FailingSince) < askOften) {
+		return askEvery
+	}
+	return askSeldom
+}
+
 func (c *contacts) askOne(ctx context.Context, id, address string) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
