--- /dev/null
+++ b/internal/gateway/site_test.go
@@ -0,0 +1,309 @@
+package gateway_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/formation"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/gateway"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/registry"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/routes"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/settings"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/standin"
+)
+
+// site is an entry with stand-ins around it, in virtual time.
+type site struct {
+	t       *testing.T
+	network *standin.Network
+	store   *standin.Store
+	entry   *gateway.Gateway
+	client  *http.Client
+	servers map[string]*server
+	logs    *logLines
+
+	mu     sync.Mutex
+	config routes.Config
+}
+
+// logLines collects the entry's log.
+type logLines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *logLines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *logLines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+const (
+	callerAddress = "10.0.0.1:80"
+	readyAddress  = "10.0.0.1:81"
+	revocation    = 5 * time.Second
+	key           = "k1"
+)
+
+func newSite(t *testing.T) *site {
+	s := &site{
+		t: t, network: standin.NewMemory(), store: standin.NewStore(), servers: map[string]*server{}, logs: &logLines{},
+		config: routes.Config{
+			Version: 1,
+			Routes: []routes.Route{
+				{
+					Name: "notes", Host: "yard.example", Prefix: "/notes/", Kind: routes.Streaming, Resumable: true, MaxAttempts: 2,
+					Timeout: 8 * time.Second, Split: []routes.Share{{Service: "notes", Weight: 1}},
+				},
+				{
+					Name: "dock", Host: "yard.example", Prefix: "/dock/", Kind: routes.Unsafe, MaxAttempts: 1,
+					Timeout: 1500 * time.Millisecond, Split: []routes.Share{{Service: "docking", Weight: 1}},
+				},
+				{
+					Name: "bays", Host: "yard.example", Prefix: "/bays/", Kind: routes.Safe, MaxAttempts: 2, Public: true,
+					Timeout: 1500 * time.Millisecond, Split: []routes.Share{{Service: "docking", Weight: 1}},
+				},
+			},
+			Services: []routes.Service{
+				{Name: "notes", Engine: &routes.Engine{Slots: 4, Models: []routes.Model{{Name: "large", GroupSize: 2, Share: 1}}}},
+				{Name: "docking"},
+			},
+			Limits:        routes.Limits{BodyBytes: 100},
+			Organisations: []routes.Organisation{{Name: "north", Keys: []string{key}}},
+		},
+	}
+	s.putConfig()
+	return s
+}
+
+func (s *site) putConfig() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	encoded, err := json.Marshal(s.config)
+	require.NoError(s.t, err)
+	s.store.Put("op", "config", encoded)
+}
+
+// start runs the entry and waits until it is ready.
+func (s *site) start() {
+	logger := logrus.New()
+	logger.SetOutput(s.logs)
+	logger.SetFormatter(&logrus.JSONFormatter{})
+	entry, err := gateway.New(settings.Gateway{
+		Name: "a-1", Zone: "a", Zones: []string{"a"},
+		CallerAddress: callerAddress, ReadinessAddress: readyAddress, ReadinessPath: "/ready",
+		Bounds: settings.GatewayBounds{
+			Revocation: revocation, Grace: 8 * time.Second, RepeatSpan: 10 * time.Second, RepeatRatio: 0.2, RepeatSlack: 100,
+		},
+	}, s.platform(), logger,
+		gateway.WithListen(s.network.Listener("a")), gateway.WithDial(s.network.Dialer("a")), gateway.WithBootClock(time.Now))
+	require.NoError(s.t, err)
+	s.entry = entry
+	s.client = &http.Client{Transport: &http.Transport{DialContext: s.network.Dialer("a"), DisableCompression: true}}
+	time.Sleep(time.Second)
+	require.True(s.t, entry.Ready())
+}
+
+func (s *site) stop() {
+	s.entry.Shutdown(context.Background())
+	s.client.CloseIdleConnections()
+	for _, srv := range s.servers {
+		srv.stop()
+	}
+}
+
+// platform is the hosting platform in the test's own words.
+func (s *site) platform() gateway.Platform {
+	return gateway.Platform{
+		Store: s.store.Client("a-1"), OperatorTable: "op", ServerTable: "servers",
+		IsConfig:      func(key string) bool { return key == "config" },
+		EvacuatedZone: func(key string) (string, bool) { return strings.CutPrefix(key, "out/") },
+		DecodeConfig: func(value []byte) (routes.Config, error) {
+			var c routes.Config
+			return c, json.Unmarshal(value, &c)
+		},
+		DecodeServer: func(_ string, value []byte, now time.Time) (*registry.Server, error) {
+			var srv registry.Server
+			err := json.Unmarshal(value, &srv)
+			srv.Seen = now
+			return &srv, err
+		},
+		Order: func(context.Context, string, formation.Order) (formation.Outcome, error) {
+			return formation.Begun, nil
+		},
+		Report: func(_ context.Context, known registry.Server) (registry.Server, error) { return known, nil },
+		Protocol: gateway.Protocol{
+			DecodeRequest: func(h http.Header) gateway.Ask {
+				ms, _ := strconv.Atoi(h.Get("Wait-Ms")) // absent means no bound
+				return gateway.Ask{
+					ID: h.Get("Id"), Key: h.Get("Key"), Wait: time.Duration(ms) * time.Millisecond,
+					Model: h.Get("Weights"), LastEvent: h.Get("After"),
+				}
+			},
+			Forward: func(h http.Header, f gateway.Forwarding) {
+				h.Del("Key")
+				h.Set("Organisation", f.Organisation)
+				h.Set("Wait-Ms", strconv.FormatInt(f.Left.Milliseconds(), 10))
+				if f.LastEvent != "" {
+					h.Set("After", f.LastEvent)
+				}
+			},
+			DecodeAnswer: func(h http.Header, _ int) gateway.AnswerMark {
+				return gateway.AnswerMark{ID: h.Get("Id"), Signed: h.Get("Receipt") != "", NotRun: h.Get("Not-Run") != ""}
+			},
+		},
+	}
+}
+
+// server is a backend server, or the leader of a replica group.
+type server struct {
+	id      string
+	address string
+	handler func(w http.ResponseWriter, r *http.Request)
+	http    *http.Server
+
+	mu    sync.Mutex
+	seen  []string
+	ended int
+}
+
+// add starts a backend server. With a model it leads an open group.
+func (s *site) add(id, service, model string, handler func(w http.ResponseWriter, r *http.Request)) *server {
+	srv := &server{id: id, address: fmt.Sprintf("10.1.0.%d:80", len(s.servers)+1), handler: handler}
+	l, err := s.network.Listener("a")("tcp", srv.address)
+	require.NoError(s.t, err)
+	srv.http = &http.Server{Handler: srv}
+	go func() { _ = srv.http.Serve(l) }() // ends with stop
+	s.servers[id] = srv
+	s.list(srv, service, model, false)
+	return srv
+}
+
+func (s *site) list(srv *server, service, model string, leaving bool) {
+	entry := registry.Server{ID: srv.id, Born: 1, Service: service, Address: srv.address, Zone: "a", Slots: 4, Leaving: leaving}
+	if model != "" {
+		entry.Member = &registry.Membership{Group: registry.GroupID{Name: "g-" + srv.id, Epoch: 1}, State: registry.Open, Model: model}
+	}
+	encoded, err := json.Marshal(entry)
+	require.NoError(s.t, err)
+	s.store.Put("servers", srv.id, encoded)
+}
+
+func (srv *server) stop() { _ = srv.http.Close() }
+
+func (srv *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	srv.mu.Lock()
+	srv.seen = append(srv.seen, r.Header.Get("Id"))
+	srv.mu.Unlock()
+	defer func() {
+		srv.mu.Lock()
+		defer srv.mu.Unlock()
+		srv.ended++
+	}()
+	// Only after its body does the HTTP server notice that a request is given up.
+	_, _ = io.Copy(io.Discard, r.Body)
+	w.Header().Set("Id", r.Header.Get("Id"))
+	srv.handler(w, r)
+}
+
+func (srv *server) requests() int {
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	return len(srv.seen)
+}
+
+// ok answers whole.
+func ok(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Receipt", "1")
+	_, _ = io.WriteString(w, "done") // the test reads what arrives
+}
+
+// events streams numbered events behind the asked one, each after a pause.
+// From silentAfter on the server stands still, like a group that lost a member.
+func events(count int, silentAfter *int) func(http.ResponseWriter, *http.Request) {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Receipt", "1")
+		w.Header().Set("Content-Type", "text/event-stream")
+		after, _ := strconv.Atoi(r.Header.Get("After")) // absent means from the start
+		for i := after + 1; i <= count; i++ {
+			if silentAfter != nil && i > *silentAfter {
+				<-r.Context().Done()
+				return
+			}
+			time.Sleep(40 * time.Millisecond)
+			fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", i, i)
+			if http.NewResponseController(w).Flush() != nil {
+				return
+			}
+		}
+	}
+}
+
+// answer is what a caller got.
+type answer struct {
+	status  int
+	header  http.Header
+	body    string
+	err     error
+	longest time.Duration
+}
+
+// call sends a request and reads its answer, with the longest pause in it.
+func (s *site) call(ctx context.Context, method, path, id string, header map[string]string) answer {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+callerAddress+path, strings.NewReader("body"))
+	require.NoError(s.t, err)
+	r.Host = "yard.example"
+	r.Header.Set("Id", id)
+	r.Header.Set("Key", key)
+	r.Header.Set("Weights", "large")
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	last := time.Now()
+	reply, err := s.client.Do(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer reply.Body.Close()
+	a := answer{status: reply.StatusCode, header: reply.Header}
+	buf := make([]byte, 4096)
+	for {
+		n, err := reply.Body.Read(buf)
+		a.longest = max(a.longest, time.Since(last))
+		last = time.Now()
+		a.body += string(buf[:n])
+		if err == io.EOF {
+			return a
+		}
+		if err != nil {
+			a.err = err
+			return a
+		}
+	}
+}
+
+// wholeStream is the text of all events.
+func wholeStream(count int) string {
+	var b strings.Builder
+	for i := 1; i <= count; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: event %d\n\n", i, i)
+	}
+	return b.String()
+}
