--- a/internal/grouping/monitor.go
+++ b/internal/grouping/monitor.go
@@ -17,6 +17,9 @@
 	good time.Time
 	// failing is when the first of the failed probes since then was sent.
 	failing time.Time
+	// failed is when the last failed probe was sent: an answer to a probe that
+	// was sent before it comes too late.
+	failed time.Time
 	// misplaced says that the member answers but is not in the group.
 	misplaced bool
 	health    engine.Health
@@ -63,7 +66,7 @@
 // Answered takes in a probe, sent at sentAt, that the member answered.
 func (m *Monitor) Answered(sentAt time.Time, instance string, health engine.Health) {
 	watch := m.members[instance]
-	if watch == nil {
+	if watch == nil || (!watch.failed.IsZero() && !sentAt.After(watch.failed)) {
 		return
 	}
 	watch.health = health
@@ -87,6 +90,9 @@
 		return
 	}
 	watch.good = time.Time{}
+	if sentAt.After(watch.failed) {
+		watch.failed = sentAt
+	}
 	if watch.failing.IsZero() {
 		watch.failing = sentAt
 	}
