--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -233,6 +233,7 @@
 		s.store.Put("op", "out/a", nil)
 		time.Sleep(time.Second)
 		require.Equal(t, http.StatusServiceUnavailable, s.call(s.t.Context(), http.MethodPost, "/dock/1", "6", nil).status)
+		require.Regexp(t, `"request":"6".*"servers":0.*"view":\d+.*"view-age-ms":\d+`, s.logs.String())
 		s.store.Delete("op", "out/a")
 		time.Sleep(time.Second)
 		require.Equal(t, http.StatusOK, s.call(s.t.Context(), http.MethodPost, "/dock/1", "7", nil).status)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/hibiscuspulley/hibiscuspulley/internal/backend"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/dispatch"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/event"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/registry"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/routes"
@@ -188,6 +189,9 @@
 	if c.delivered > 0 {
 		fields["events"] = c.delivered
 	}
+	if c.route != nil && c.sent == 0 && status == http.StatusServiceUnavailable {
+		g.addRoom(fields, c)
+	}
 	if reason != "" {
 		fields["reason"] = reason
 		event.RequestFailed.Log(g.logger, fields)
@@ -196,6 +200,19 @@
 	event.RequestServed.Log(g.logger, fields)
 }
 
+// addRoom tells what the request found when it was refused.
+func (g *Gateway) addRoom(fields logrus.Fields, c *call) {
+	demand := dispatch.Demand{Service: c.service}
+	if c.route.Kind == routes.Streaming {
+		demand.Model = c.ask.Model
+	}
+	room := g.balancer.Room(time.Now(), g.bootClock(), demand)
+	fields["servers"], fields["silent"], fields["full"] = room.Servers, room.Silent, room.Full
+	fields["in-flight"], fields["waiting"] = room.InFlight, g.lines.Line(c.service, demand.Model).Length()
+	fields["view"], fields["view-age-ms"] = room.ViewVersion, room.ViewAge.Milliseconds()
+	fields["config-age-ms"] = g.bootClock().Sub(g.beliefs.evidence()).Milliseconds()
+}
+
 // removeHopByHop removes the headers that concern one connection only.
 func removeHopByHop(h http.Header) {
 	for _, list := range h.Values("Connection") {
