--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,12 +28,12 @@
 	readyEvidence = 0.55
 	// operatorWait is how long the store may hold the call for operators'
 	// rows: its answers are the evidence that keys are still valid.
-	operatorWait = 1500 * time.Millisecond
+	operatorWait = time.Second
 	// serverWait is the same for servers' entries, which change often.
 	serverWait = 4 * time.Second
 	// serverPace and stewardPace batch changes of servers' entries; each call
 	// is paid for. The zone's steward repairs by them.
-	serverPace  = 500 * time.Millisecond
+	serverPace  = 300 * time.Millisecond
 	stewardPace = 100 * time.Millisecond
 	// leadPace is that of entries that wait for the fleet's first request.
 	leadPace = time.Second
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -26,7 +26,7 @@
 // entryTiming renews less often than sessions that own something: these rows
 // only tell who is there, and each call is paid for.
 func entryTiming() membership.Timing {
-	return membership.Timing{Renew: 3 * time.Second, Term: 9 * time.Second, Grace: time.Second}
+	return membership.Timing{Renew: 2 * time.Second, Term: 6 * time.Second, Grace: time.Second}
 }
 
 // members keeps the entry's own session row and reads the others'.
--- a/internal/store/follower.go
+++ b/internal/store/follower.go
@@ -15,7 +15,7 @@
 	retryMost  = time.Second
 	// answerSlack is how much longer than the asked wait an answer may take:
 	// a slow store answers after some hundred milliseconds.
-	answerSlack = 1200 * time.Millisecond
+	answerSlack = 800 * time.Millisecond
 )
 
 // Update is what a Follower learnt from one answer.
