--- a/internal/command/gateway/gateway_test.go
+++ b/internal/command/gateway/gateway_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/hibiscuspulley/hibiscuspulley/internal/command/factory"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/command/gateway"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/settings"
 )
 
 type output struct {
@@ -101,6 +102,11 @@
 	require.Contains(t, out.String(), `"event":102`)
 }
 
+func TestTheExampleIsAccepted(t *testing.T) {
+	_, err := settings.LoadGateway("../../../examples/gateway-a.json")
+	require.NoError(t, err)
+}
+
 func TestSettingsAreCheckedAsAWhole(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "settings.json")
 	require.NoError(t, os.WriteFile(file, []byte(`{"name": "a-1", "caller-address": "here", "first-start": 1}`), 0o600))
--- a/internal/command/settings/check.go
+++ b/internal/command/settings/check.go
@@ -16,6 +16,8 @@
 type CheckOptions struct {
 	Factory *factory.Factory
 	File    string
+	// Gateway checks a gateway's settings instead of an entry's.
+	Gateway bool
 }
 
 // New adds the noun to the application.
@@ -24,6 +26,7 @@
 	opts := &CheckOptions{Factory: f}
 	check := noun.Command("check", "Report everything wrong with a settings file, with line, column and remedy.\n\nExample:\n  hibiscuspulley settings check entry-a1.json")
 	check.Arg("file", "Settings file.").Required().StringVar(&opts.File)
+	check.Flag("gateway", "The file is a gateway's.").BoolVar(&opts.Gateway)
 	check.Action(func(*kingpin.ParseContext) error { return RunCheck(opts) })
 }
 
@@ -38,7 +41,12 @@
 // RunCheck reports the findings on standard output. It fails when there are
 // any.
 func RunCheck(opts *CheckOptions) error {
-	_, err := settings.Load(opts.File)
+	var err error
+	if opts.Gateway {
+		_, err = settings.LoadGateway(opts.File)
+	} else {
+		_, err = settings.Load(opts.File)
+	}
 	var list findings.List
 	if err != nil && !errors.As(err, &list) {
 		return err
--- a/internal/gateway/contacts.go
+++ b/internal/gateway/contacts.go
@@ -50,10 +50,11 @@
 func (c *contacts) contact(id string) formation.Contact {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if s := c.known[id]; s != nil {
-		return s.Contact
+	s := c.known[id]
+	if s == nil || (!s.FailingSince.IsZero() && c.gateway.neighbours.advancing(id)) {
+		return formation.Contact{}
 	}
-	return formation.Contact{}
+	return s.Contact
 }
 
 // ask asks the suspects, and those that have not answered yet.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -190,7 +190,7 @@
 }
 
 func (g *Gateway) serve(s *http.Server, address string) error {
-	l, err := g.options.listen("tcp", address)
+	l, err := g.listen("tcp", address)
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", address)
 	}
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -183,6 +183,25 @@
 	}}
 }
 
+// advancing reports whether an entry has streams at the server that go on: it
+// lives, even if this entry and the store don't reach it.
+func (n *neighbours) advancing(server string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	for _, h := range n.loads {
+		if now.Sub(h.at) > heardFor {
+			continue
+		}
+		for _, l := range h.loads {
+			if l.Server == server && l.InFlight > 0 && !l.Stalled {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (n *neighbours) heard(entry string, loads []peer.Load) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -185,7 +185,7 @@
 }
 
 // add starts a backend server. With a model it leads an open group.
-func (s *site) add(id, service, model string, handler func(w http.ResponseWriter, r *http.Request)) *server {
+func (s *site) add(id, service, model string, handler func(w http.ResponseWriter, r *http.Request)) {
 	srv := &server{id: id, address: fmt.Sprintf("10.1.0.%d:80", len(s.servers)+1), handler: handler}
 	l, err := s.network.Listener("a")("tcp", srv.address)
 	require.NoError(s.t, err)
@@ -193,7 +193,6 @@
 	go func() { _ = srv.http.Serve(l) }() // ends with stop
 	s.servers[id] = srv
 	s.list(srv, service, model, false)
-	return srv
 }
 
 func (s *site) list(srv *server, service, model string, leaving bool) {
--- a/internal/store/follower_test.go
+++ b/internal/store/follower_test.go
@@ -18,10 +18,10 @@
 	lost, regained int
 }
 
-func follow(ctx context.Context, s *standin.Store, wait time.Duration) *followed {
+func follow(ctx context.Context, s *standin.Store) *followed {
 	f := &followed{}
 	follower := &store.Follower{
-		Table: "op", Wait: wait, Now: time.Now,
+		Table: "op", Wait: time.Second, Now: time.Now,
 		Pace:     func() time.Duration { return 0 },
 		Apply:    func(u store.Update) { f.updates = append(f.updates, u) },
 		Lost:     func(error) { f.lost++ },
@@ -39,7 +39,7 @@
 		defer cancel()
 		s := standin.NewStore()
 		s.Put("op", "config", []byte("1"))
-		f := follow(ctx, s, time.Second)
+		f := follow(ctx, s)
 		time.Sleep(100 * time.Millisecond)
 		require.True(t, f.last().Whole)
 		s.Put("op", "config", []byte("2"))
@@ -58,7 +58,7 @@
 		defer cancel()
 		s := standin.NewStore()
 		s.Put("op", "evacuate/a", nil)
-		f := follow(ctx, s, time.Second)
+		f := follow(ctx, s)
 		time.Sleep(100 * time.Millisecond)
 		s.SetFaults(standin.StoreFaults{Down: true})
 		time.Sleep(time.Second)
@@ -85,7 +85,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		s := standin.NewStore()
-		f := follow(ctx, s, time.Second)
+		f := follow(ctx, s)
 		time.Sleep(1500 * time.Millisecond)
 		require.GreaterOrEqual(t, time.Since(f.last().AsOf), time.Second)
 	})
@@ -98,7 +98,7 @@
 		defer cancel()
 		s := standin.NewStore()
 		s.SetFaults(standin.StoreFaults{Down: true})
-		f := follow(ctx, s, time.Second)
+		f := follow(ctx, s)
 		time.Sleep(20 * time.Second)
 		require.LessOrEqual(t, s.Calls(), 40)
 		require.Empty(t, f.updates)
