Stewardship: one goroutine owns the lease; no lock is held while the store is asked

Found by a test of keys whose evidence grows old while a request waits: shutdown waited for a lock that the steward held through calls to a silent store (2.4 s and more). The loop now takes outcomes and the wish to resign by channels.

--- a/internal/formation/world_test.go
+++ b/internal/formation/world_test.go
@@ -64,6 +64,8 @@
 	broken    []string
 	nextBorn  int64
 	recording bool
+	// leaderJoins counts how often each group's leader was told to join.
+	leaderJoins map[registry.GroupID]int
 	// trace tells what happened, for a failed case.
 	trace []string
 }
@@ -76,7 +78,7 @@
 	w := &world{
 		now: time.Unix(1000, 0), hosts: map[string]*host{}, nextBorn: 1,
 		records: map[registry.GroupID][]byte{}, ready: map[registry.GroupID]map[string]bool{},
-		lists: map[registry.GroupID][]string{}, failing: map[string]time.Time{}, recording: true,
+		lists: map[registry.GroupID][]string{}, failing: map[string]time.Time{}, recording: true, leaderJoins: map[registry.GroupID]int{},
 		engine: &routes.Engine{
 			Slots: 17, LoadsPerSecond: 50, LoadsAtOnce: 50,
 			Models: []routes.Model{
@@ -320,6 +322,11 @@
 	}
 	for _, o := range d.Orders {
 		h := w.hosts[o.Server]
+		if o.Operation == formation.Join && o.Members[0] == o.Server {
+			if w.leaderJoins[o.Group]++; w.leaderJoins[o.Group] > 1 {
+				w.broken = append(w.broken, "the leader of "+o.Group.Name+" was told to join twice")
+			}
+		}
 		if late := lateBy(); late > 0 {
 			w.late = append(w.late, lateOrder{at: w.now.Add(late), order: o})
 			w.steward.Outcome(o, h.born, formation.Unknown, w.now)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -98,6 +98,8 @@
 func TestANonIdempotentCallIsNeverSentTwice(t *testing.T) {
 	lost := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
 	run(t, func(s *site) {
+		s.config.Routes[1].MaxAttempts = 2 // bounds servers that may be asked, not what may run twice
+		s.putConfig()
 		s.add("d1", "docking", "", lost)
 		s.add("d2", "docking", "", lost)
 	}, func(s *site) {
@@ -183,6 +185,9 @@
 		a := s.call(s.t.Context(), http.MethodPost, "/dock/1", "2", nil)
 		require.Equal(t, http.StatusServiceUnavailable, a.status)
 		require.NotEmpty(t, a.header.Get("Retry-After"))
+		// A key that is not known here may be a new one.
+		b := s.call(s.t.Context(), http.MethodPost, "/dock/1", "5", map[string]string{"Key": "k9"})
+		require.Equal(t, http.StatusServiceUnavailable, b.status)
 		require.Equal(t, http.StatusOK, s.call(s.t.Context(), http.MethodGet, "/bays/1", "3", nil).status)
 		s.store.SetFaults(standin.StoreFaults{})
 		time.Sleep(4 * time.Second)
@@ -304,3 +309,32 @@
 		require.Equal(t, 1, s.servers["g1"].ended)
 	})
 }
+
+// A request waits for a place while its key's evidence grows too old: it is not
+// sent.
+func TestAKeyIsCheckedAgainBeforeTheSend(t *testing.T) {
+	slow := func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			time.Sleep(300 * time.Millisecond)
+		}
+		ok(w, r)
+	}
+	run(t, func(s *site) { s.add("d1", "docking", "", slow) }, func(s *site) {
+		s.store.SetFaults(standin.StoreFaults{Silent: true})
+		for s.entry.Ready() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		// Entries stop being ready at 0.55 of the bound.
+		time.Sleep(revocation*45/100 - 150*time.Millisecond)
+		var wg sync.WaitGroup
+		for i := range 5 { // all places of the server
+			wg.Go(func() { s.call(s.t.Context(), http.MethodGet, "/bays/1", fmt.Sprint("full", i), nil) })
+		}
+		time.Sleep(10 * time.Millisecond)
+		a := s.call(s.t.Context(), http.MethodPost, "/dock/1", "1", nil)
+		wg.Wait()
+		require.Equal(t, http.StatusServiceUnavailable, a.status)
+		require.Contains(t, s.logs.String(), "no longer confirmed")
+		require.Equal(t, 5, s.servers["d1"].requests())
+	})
+}
--- a/internal/gateway/stewardship.go
+++ b/internal/gateway/stewardship.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -54,20 +53,37 @@
 
 	// leads says that this entry holds the lease.
 	leads atomic.Bool
+	// outcomes brings what became of orders to the loop, which owns what
+	// follows.
+	outcomes chan orderOutcome
+	// resigning asks the loop to give the lease up; resigned is closed then.
+	resigning atomic.Bool
+	resigned  chan struct{}
 
-	mu sync.Mutex
 	// steward is set while this entry holds the lease.
 	steward     *formation.Steward
 	nextContend time.Time
 	renewedAt   time.Time
-	// resigned entries don't contend again.
-	resigned bool
 }
 
+// orderOutcome is what became of an order that a steward gave.
+type orderOutcome struct {
+	steward *formation.Steward
+	order   formation.Order
+	born    int64
+	outcome formation.Outcome
+	at      time.Time
+}
+
+// outcomesWaiting bounds the outcomes that wait for the loop: a step gives
+// some tens of orders.
+const outcomesWaiting = 256
+
 func newStewardship(g *Gateway) *stewardship {
 	timing := stewardTiming()
 	return &stewardship{
 		gateway: g, watcher: membership.NewWatcher(timing), kicks: make(chan struct{}, 1), asks: newContacts(g),
+		outcomes: make(chan orderOutcome, outcomesWaiting), resigned: make(chan struct{}),
 		holder: membership.NewHolder(membership.Session{
 			Entry: g.settings.Name, Zone: g.settings.Zone, Address: g.settings.PeerAddress,
 			Incarnation: g.settings.Name + "/" + g.bootClock().Format(time.RFC3339Nano),
@@ -93,18 +109,33 @@
 		case <-timer.C:
 		case <-s.kicks:
 		}
-		s.mu.Lock()
+		s.takeOutcomes()
+		if s.resigning.Load() {
+			s.giveUp(ctx)
+			close(s.resigned)
+			return
+		}
 		s.step(ctx)
 		s.leads.Store(s.steward != nil)
-		s.mu.Unlock()
 		timer.Reset(stepEvery)
 	}
 }
 
+func (s *stewardship) takeOutcomes() {
+	for {
+		select {
+		case o := <-s.outcomes:
+			o.steward.Outcome(o.order, o.born, o.outcome, o.at)
+		default:
+			return
+		}
+	}
+}
+
 func (s *stewardship) step(ctx context.Context) {
 	now := s.gateway.bootClock()
 	if s.steward == nil {
-		if !s.resigned && !now.Before(s.nextContend) {
+		if !now.Before(s.nextContend) {
 			s.nextContend = now.Add(contendEvery)
 			s.contend(ctx, now)
 		}
@@ -318,9 +349,11 @@
 			fields["error"] = err
 		}
 		event.OrderGiven.Log(s.gateway.logger, fields)
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		steward.Outcome(o, srv.Born, outcome, s.gateway.bootClock())
+		select {
+		case s.outcomes <- orderOutcome{steward, o, srv.Born, outcome, s.gateway.bootClock()}:
+		default:
+			s.gateway.logger.Warn("the outcome of an order was dropped; the order is given again")
+		}
 	})
 }
 
@@ -335,9 +368,17 @@
 
 // resign gives the lease up, so that another entry takes it at once.
 func (s *stewardship) resign(ctx context.Context) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.resigned = true
+	s.resigning.Store(true)
+	s.kick()
+	select {
+	case <-s.resigned:
+	case <-ctx.Done():
+		s.gateway.logger.Warn("the lease was not given up in time; it lapses")
+	}
+}
+
+func (s *stewardship) giveUp(ctx context.Context) {
+	s.leads.Store(false)
 	if s.steward == nil {
 		return
 	}
