--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -12,6 +12,9 @@
 	// remoteShare is the part of a group's slots that an entry of another zone
 	// takes at most: the zone's own entries come first.
 	remoteShare = 0.25
+	// strandedShare is the same for an entry whose own zone has no server for
+	// the request, as while the zone is out.
+	strandedShare = 0.6
 	// overlap is how many requests beyond its slots a server may hold, so that
 	// a free slot is taken without a round trip.
 	overlap = 1
@@ -24,6 +27,8 @@
 	Model string
 	// Tried are servers that are not to be asked again.
 	Tried map[string]bool
+	// share is the part of another zone's server that may be taken.
+	share float64
 }
 
 // Ticket is a place at a server, to be given back by Done.
@@ -149,6 +154,10 @@
 	}
 	var best *registry.Server
 	bestScore := 0.0
+	d.share = remoteShare
+	if !b.servesAtHome(service, d) {
+		d.share = strandedShare
+	}
 	for _, s := range b.view.Servers {
 		if s.Service != d.Service {
 			continue
@@ -172,6 +181,20 @@
 	return &Ticket{Server: best, balancer: b, load: l}
 }
 
+// servesAtHome reports whether the own zone has a server for the demand,
+// whether or not it has room.
+func (b *Balancer) servesAtHome(service *routes.Service, d Demand) bool {
+	if b.out[b.zone] {
+		return false
+	}
+	for _, s := range b.view.Servers {
+		if s.Zone == b.zone && s.Service == d.Service && !s.Leaving && (service.Engine == nil || s.Leads(d.Model)) {
+			return true
+		}
+	}
+	return false
+}
+
 func (b *Balancer) load(s *registry.Server) *load {
 	l := b.loads[s.Lifetime()]
 	if l == nil {
@@ -201,7 +224,7 @@
 	score := float64(l.total()) / float64(slots)
 	local := s.Zone == b.zone
 	switch {
-	case !local && float64(l.inFlight) >= remoteShare*float64(slots):
+	case !local && float64(l.inFlight) >= d.share*float64(slots):
 		return 0, false
 	case l.total() >= slots+overlap:
 		return 0, false
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -41,7 +41,7 @@
 		room.InFlight += l.total()
 		if l.suspect(now) {
 			room.Silent++
-		} else if _, fits := b.score(now, s, service, Demand{Service: d.Service, Model: d.Model}); !fits {
+		} else if _, fits := b.score(now, s, service, Demand{Service: d.Service, Model: d.Model, share: remoteShare}); !fits {
 			room.Full++
 		}
 	}
