--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,7 +30,9 @@
 	// rows: its answers are the evidence that keys are still valid.
 	operatorWait = time.Second
 	// serverWait is the same for servers' entries, which change often.
-	serverWait = 4 * time.Second
+	// While the store is silent, a call is given up only after this time and
+	// some more.
+	serverWait = 1500 * time.Millisecond
 	// serverPace and stewardPace batch changes of servers' entries; each call
 	// is paid for. The zone's steward repairs by them.
 	serverPace  = 300 * time.Millisecond
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -57,6 +57,7 @@
 
 const (
 	callerAddress = "10.0.0.1:80"
+	peerAddress   = "10.0.0.1:82"
 	readyAddress  = "10.0.0.1:81"
 	revocation    = 5 * time.Second
 	key           = "k1"
@@ -108,7 +109,7 @@
 	logger.SetFormatter(&logrus.JSONFormatter{})
 	entry, err := gateway.New(settings.Gateway{
 		Name: "a-1", Zone: "a", Zones: []string{"a"},
-		CallerAddress: callerAddress, ReadinessAddress: readyAddress, ReadinessPath: "/ready",
+		CallerAddress: callerAddress, ReadinessAddress: readyAddress, ReadinessPath: "/ready", PeerAddress: peerAddress,
 		Bounds: settings.GatewayBounds{
 			Revocation: revocation, Grace: 8 * time.Second, RepeatSpan: 10 * time.Second, RepeatRatio: 0.2, RepeatSlack: 100,
 		},
--- a/internal/gateway/stewardship.go
+++ b/internal/gateway/stewardship.go
@@ -219,7 +219,7 @@
 	}
 	s.watcher.Observe(now, []membership.Row{row})
 	if row.Version != 0 && row.State == membership.Live {
-		if !s.watcher.Silent(row) {
+		if !s.watcher.Silent(row) && !s.ownBefore(row) {
 			return
 		}
 		row.Session = membership.Lapse(row, attempt())
@@ -241,6 +241,13 @@
 	s.kick()
 }
 
+// ownBefore reports whether an earlier process of this machine holds the lease:
+// it has ended, since this one has its address.
+func (s *stewardship) ownBefore(row membership.Row) bool {
+	g := s.gateway.settings
+	return g.PeerAddress != "" && row.Entry == g.Name && row.Address == g.PeerAddress
+}
+
 // readRows returns the lease's row and the recorded groups.
 func (s *stewardship) readRows(ctx context.Context, now time.Time) (membership.Row, []*formation.Group, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
