Gateway: lost calls and unreadable headers are logged; lease, shutdown and listeners in files of their own

Behaviour is the same but for the log: failed calls for the session and lease rows were told at debug level only, and headers that can't be read counted as absent without a word.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/hibiscuspulley/hibiscuspulley/internal/backend"
@@ -160,66 +159,6 @@
 	}()
 }
 
-func (g *Gateway) listenAll() error {
-	g.server = &http.Server{
-		Handler: g, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		IdleTimeout: time.Minute + idleMargin,
-	}
-	if err := g.serve(g.server, g.settings.CallerAddress); err != nil {
-		return err
-	}
-	ready := http.NewServeMux()
-	ready.HandleFunc(g.settings.ReadinessPath, g.answerReadiness)
-	if err := g.serve(&http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout}, g.settings.ReadinessAddress); err != nil {
-		return err
-	}
-	if g.settings.PeerAddress != "" {
-		exchange := http.NewServeMux()
-		exchange.Handle(exchangePath, g.neighbours.server)
-		if err := g.serve(&http.Server{Handler: exchange, ReadHeaderTimeout: headerTimeout}, g.settings.PeerAddress); err != nil {
-			return err
-		}
-	}
-	if g.settings.MetricsAddress == "" {
-		return nil
-	}
-	counters := http.NewServeMux()
-	counters.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		_, _ = w.Write([]byte(g.metrics.vars.String()))
-	})
-	return g.serve(&http.Server{Handler: counters, ReadHeaderTimeout: headerTimeout}, g.settings.MetricsAddress)
-}
-
-func (g *Gateway) serve(s *http.Server, address string) error {
-	l, err := g.listen("tcp", address)
-	if err != nil {
-		return errors.Wrapf(err, "listen on %s", address)
-	}
-	g.servers = append(g.servers, s)
-	g.loop(func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			event.ListenerFailed.Log(g.logger, logrus.Fields{"address": address, "error": err})
-		}
-	})
-	return nil
-}
-
-// Ready reports whether the entry should get new connections.
-func (g *Gateway) Ready() bool {
-	if g.stopping.Load() || g.beliefs.table.Load() == nil || g.registry.View().Version == 0 {
-		return false
-	}
-	bound := g.settings.Bounds.Revocation
-	return bound == 0 || g.bootClock().Sub(g.beliefs.evidence()) < time.Duration(float64(bound)*readyEvidence)
-}
-
-func (g *Gateway) answerReadiness(w http.ResponseWriter, _ *http.Request) {
-	if !g.Ready() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}
-}
-
 // entries returns how many entries may be sending to the same servers.
 func (g *Gateway) entries() int {
 	return g.members.count()
@@ -308,44 +247,6 @@
 	}
 }
 
-func (g *Gateway) stopBegan() time.Time { return time.Unix(0, g.stoppedAt.Load()) }
-
-// Shutdown takes the entry out of rotation, goes on serving open connections
-// while callers use them, and ends within the grace time.
-func (g *Gateway) Shutdown(ctx context.Context) {
-	g.stoppedAt.Store(time.Now().UnixNano())
-	g.stopping.Store(true)
-	event.Stopping.Log(g.logger, logrus.Fields{})
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(float64(g.settings.Bounds.Grace)*graceUsed))
-	defer cancel()
-	g.steward.resign(ctx)
-	g.awaitIdle(ctx)
-	g.cancel()
-	for _, s := range g.servers {
-		_ = s.Close()
-	}
-	g.wg.Wait()
-	event.Stopped.Log(g.logger, logrus.Fields{})
-}
-
-// awaitIdle returns once no request is served and none would be, or when ctx
-// ends.
-func (g *Gateway) awaitIdle(ctx context.Context) {
-	ticker := time.NewTicker(idleCheck)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			event.ShutdownTimedOut.Log(g.logger, logrus.Fields{"requests": g.inFlight.Load()})
-			return
-		case now := <-ticker.C:
-			if g.inFlight.Load() == 0 && now.Sub(g.stopBegan()) > serveWhileStopping+idleCheck {
-				return
-			}
-		}
-	}
-}
-
 // lastAddress returns the address of a server that has no entry any more.
 func (g *Gateway) lastAddress(id string) string {
 	if s := g.registry.View().Former[id]; s != nil {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -67,6 +67,9 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.metrics.requests.Add(1)
 	c := &call{ask: g.platform.Protocol.DecodeRequest(r.Header), started: time.Now(), tried: map[string]bool{}}
+	for _, what := range c.ask.Unreadable {
+		c.note("unreadable " + what)
+	}
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	if g.stopping.Load() {
--- /dev/null
+++ b/internal/gateway/listeners.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/event"
+)
+
+func (g *Gateway) listenAll() error {
+	g.server = &http.Server{
+		Handler: g, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		IdleTimeout: time.Minute + idleMargin,
+	}
+	if err := g.serve(g.server, g.settings.CallerAddress); err != nil {
+		return err
+	}
+	ready := http.NewServeMux()
+	ready.HandleFunc(g.settings.ReadinessPath, g.answerReadiness)
+	if err := g.serve(&http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout}, g.settings.ReadinessAddress); err != nil {
+		return err
+	}
+	if g.settings.PeerAddress != "" {
+		exchange := http.NewServeMux()
+		exchange.Handle(exchangePath, g.neighbours.server)
+		if err := g.serve(&http.Server{Handler: exchange, ReadHeaderTimeout: headerTimeout}, g.settings.PeerAddress); err != nil {
+			return err
+		}
+	}
+	if g.settings.MetricsAddress == "" {
+		return nil
+	}
+	counters := http.NewServeMux()
+	counters.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write([]byte(g.metrics.vars.String()))
+	})
+	return g.serve(&http.Server{Handler: counters, ReadHeaderTimeout: headerTimeout}, g.settings.MetricsAddress)
+}
+
+func (g *Gateway) serve(s *http.Server, address string) error {
+	l, err := g.listen("tcp", address)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", address)
+	}
+	g.servers = append(g.servers, s)
+	g.loop(func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			event.ListenerFailed.Log(g.logger, logrus.Fields{"address": address, "error": err})
+		}
+	})
+	return nil
+}
+
+// Ready reports whether the entry should get new connections.
+func (g *Gateway) Ready() bool {
+	if g.stopping.Load() || g.beliefs.table.Load() == nil || g.registry.View().Version == 0 {
+		return false
+	}
+	bound := g.settings.Bounds.Revocation
+	return bound == 0 || g.bootClock().Sub(g.beliefs.evidence()) < time.Duration(float64(bound)*readyEvidence)
+}
+
+func (g *Gateway) answerReadiness(w http.ResponseWriter, _ *http.Request) {
+	if !g.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -35,6 +35,7 @@
 	session membership.Session
 	watcher *membership.Watcher
 	timing  membership.Timing
+	rows    dependency
 	live    atomic.Int64
 }
 
@@ -42,6 +43,7 @@
 	timing := entryTiming()
 	m := &members{
 		gateway: g, watcher: membership.NewWatcher(timing), timing: timing,
+		rows: dependency{logger: g.logger, table: entryTable},
 		session: membership.Session{
 			Entry: g.settings.Name, Zone: g.settings.Zone, Address: g.settings.PeerAddress,
 			Incarnation: g.bootClock().Format(time.RFC3339Nano), Epoch: 1, State: membership.Live,
@@ -76,9 +78,7 @@
 	_, err := m.gateway.platform.Store.Commit(ctx, store.Transaction{
 		Puts: []store.Put{{RowKey: key, Value: membership.Encode(m.session)}},
 	})
-	if err != nil {
-		m.gateway.logger.WithError(err).Debug("session row not renewed; tried again at the next interval")
-	}
+	m.rows.note(err)
 }
 
 func (m *members) read(ctx context.Context) {
@@ -86,8 +86,8 @@
 	defer cancel()
 	sentAt := m.gateway.bootClock()
 	page, err := m.gateway.platform.Store.ReadAll(ctx, entryTable, "")
+	m.rows.note(err)
 	if err != nil {
-		m.gateway.logger.WithError(err).Debug("session rows not read; tried again at the next interval")
 		return
 	}
 	rows := make([]membership.Row, 0, len(page.Rows))
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -27,6 +27,9 @@
 	HintTokens   int
 	// LastEvent is the event after which a stream goes on.
 	LastEvent string
+	// Unreadable lists what could not be read and counts as absent; the server
+	// judges it.
+	Unreadable []string
 }
 
 // Forwarding is what an entry tells a backend server.
