--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -23,8 +23,6 @@
 	longestRetryAfter = 1500 * time.Millisecond
 	// unsentTries bounds how many servers are tried that could not be reached.
 	unsentTries = 3
-	// defaultPriority is that of routes without organisations.
-	defaultPriority = 5
 )
 
 // place waits for a place at a server.
@@ -79,8 +77,6 @@
 	}
 	if c.organisation != nil {
 		f.Organisation = c.organisation.Name
-	} else if c.table.NeedsKey(c.route) {
-		f.Priority = defaultPriority
 	}
 	g.platform.Protocol.Forward(request.Header, f)
 	belongs := func(h http.Header) bool {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -23,7 +23,6 @@
 	header http.Header
 	body   []byte
 	notRun bool
-	signed bool
 }
 
 // plain answers a request whose answer is passed on once it is whole.
@@ -134,7 +133,7 @@
 		result = dispatch.Served
 	}
 	c.note(t.Server.ID + " " + strconv.Itoa(status) + " in " + time.Since(began).Round(time.Millisecond).String())
-	return &plainAnswer{status: status, header: x.Answer.Header, body: body, notRun: mark.NotRun, signed: mark.Signed}, nil
+	return &plainAnswer{status: status, header: x.Answer.Header, body: body, notRun: mark.NotRun}, nil
 }
 
 // deliver passes a whole answer on to the caller.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -195,7 +195,7 @@
 		if mark.NotRun {
 			return streamRejected, reason
 		}
-		s.failed = &plainAnswer{status: x.Answer.StatusCode, header: x.Answer.Header, body: body, signed: mark.Signed}
+		s.failed = &plainAnswer{status: x.Answer.StatusCode, header: x.Answer.Header, body: body}
 		return streamFailed, reason
 	}
 	if !mark.Signed || x.Answer.Header.Get("Content-Encoding") != "" {
