--- a/internal/store/follower_test.go
+++ b/internal/store/follower_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,24 +16,42 @@
 
 // followed is what a Follower told.
 type followed struct {
+	mu             sync.Mutex
 	updates        []store.Update
 	lost, regained int
 }
 
+// note runs f under the lock.
+func (f *followed) note(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+// seen returns the updates so far.
+func (f *followed) seen() []store.Update {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.updates)
+}
+
 func follow(ctx context.Context, s *standin.Store) *followed {
 	f := &followed{}
 	follower := &store.Follower{
 		Table: "op", Wait: time.Second, Now: time.Now,
 		Pace:     func() time.Duration { return 0 },
-		Apply:    func(u store.Update) { f.updates = append(f.updates, u) },
-		Lost:     func(error) { f.lost++ },
-		Regained: func() { f.regained++ },
+		Apply:    func(u store.Update) { f.note(func() { f.updates = append(f.updates, u) }) },
+		Lost:     func(error) { f.note(func() { f.lost++ }) },
+		Regained: func() { f.note(func() { f.regained++ }) },
 	}
 	go follower.Run(ctx, s.Client("a"))
 	return f
 }
 
-func (f *followed) last() store.Update { return f.updates[len(f.updates)-1] }
+func (f *followed) last() store.Update {
+	seen := f.seen()
+	return seen[len(seen)-1]
+}
 
 func TestAFollowerReadsTheTableThenItsChanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -67,13 +87,15 @@
 		s.SetFaults(standin.StoreFaults{})
 		time.Sleep(3 * time.Second)
 		var whole store.Update
-		for _, u := range f.updates[1:] {
+		for _, u := range f.seen()[1:] {
 			if u.Whole {
 				whole = u
 			}
 		}
 		require.True(t, whole.Whole)
 		require.Empty(t, whole.Rows)
+		f.mu.Lock()
+		defer f.mu.Unlock()
 		require.Equal(t, 1, f.lost)
 		require.Equal(t, 1, f.regained)
 	})
@@ -101,9 +123,9 @@
 		f := follow(ctx, s)
 		time.Sleep(20 * time.Second)
 		require.LessOrEqual(t, s.Calls(), 40)
-		require.Empty(t, f.updates)
+		require.Empty(t, f.seen())
 		s.SetFaults(standin.StoreFaults{})
 		time.Sleep(2 * time.Second)
-		require.NotEmpty(t, f.updates)
+		require.NotEmpty(t, f.seen())
 	})
 }
