--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -128,12 +128,6 @@
 // Body returns the answer's body. It ends with io.EOF only if it is whole.
 func (x *Exchange) Body() io.Reader { return x.body }
 
-// Wake makes a blocked read return after the time with a timeout error; zero
-// lets reads block.
-func (x *Exchange) Wake(at time.Time) error {
-	return x.conn.SetReadDeadline(at)
-}
-
 // Finish ends a whole exchange; its connection is kept for the next if the
 // server allows it.
 func (x *Exchange) Finish() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,7 +58,7 @@
 	graceUsed = 5.0 / 6
 )
 
-// Bounds are the settings' bounds in the types of the packages that keep them.
+// bounds are the settings' bounds in the types of the packages that keep them.
 type bounds struct {
 	Revocation time.Duration
 	Grace      time.Duration
