--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -11,6 +11,7 @@
 	"github.com/hibiscuspulley/hibiscuspulley/internal/command/config"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/command/demo"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/command/factory"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/command/gateway"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/command/group"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/command/instance"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/command/organisation"
@@ -32,6 +33,7 @@
 	app.ErrorWriter(f.Err)
 	addFlags(app, f)
 	serve.New(app, f)
+	gateway.New(app, f)
 	settings.New(app, f)
 	service.New(app, f)
 	group.New(app, f)
--- /dev/null
+++ b/internal/dispatch/balancer.go
@@ -0,0 +1,258 @@
+package dispatch
+
+import (
+	"sync"
+	"time"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/registry"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/routes"
+)
+
+const (
+	// remoteShare is the part of a group's slots that an entry of another zone
+	// takes at most: the zone's own entries come first.
+	remoteShare = 0.25
+	// overlap is how many requests beyond its slots a server may hold, so that
+	// a free slot is taken without a round trip.
+	overlap = 1
+)
+
+// Demand is what a request needs of a server.
+type Demand struct {
+	Service string
+	// Model is set for requests of replica groups.
+	Model string
+	// Tried are servers that are not to be asked again.
+	Tried map[string]bool
+}
+
+// Ticket is a place at a server, to be given back by Done.
+type Ticket struct {
+	Server   *registry.Server
+	balancer *Balancer
+	load     *load
+	done     bool
+}
+
+// Balancer places requests. It is safe for concurrent use.
+type Balancer struct {
+	zone string
+
+	mu    sync.Mutex
+	view  *registry.View
+	table *routes.Table
+	// out are the zones that operators took out.
+	out     map[string]bool
+	entries int
+	loads   map[registry.Lifetime]*load
+}
+
+// NewBalancer returns a Balancer of an entry in a zone.
+func NewBalancer(zone string) *Balancer {
+	return &Balancer{
+		zone: zone, view: &registry.View{}, entries: 1,
+		loads: make(map[registry.Lifetime]*load),
+	}
+}
+
+// SetView takes over what is known of the servers.
+func (b *Balancer) SetView(v *registry.View) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.view = v
+	for l, known := range b.loads {
+		s := v.Servers[l.ID]
+		if (s == nil || s.Born != l.Born) && known.inFlight == 0 {
+			delete(b.loads, l)
+		}
+	}
+}
+
+// SetTable takes over a configuration.
+func (b *Balancer) SetTable(t *routes.Table) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.table = t
+}
+
+// SetOut takes over the zones that get no work.
+func (b *Balancer) SetOut(zones map[string]bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.out = zones
+}
+
+// SetEntries says how many entries may be sending to the same servers.
+func (b *Balancer) SetEntries(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.entries = max(n, 1)
+}
+
+// SetElsewhere takes over what the zone's other entries have in flight.
+func (b *Balancer) SetElsewhere(counts map[registry.Lifetime]int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for l, known := range b.loads {
+		known.elsewhere = counts[l]
+	}
+	for l, n := range counts {
+		if b.loads[l] == nil {
+			b.loads[l] = &load{elsewhere: n}
+		}
+	}
+}
+
+// InFlight returns the entry's own requests by server.
+func (b *Balancer) InFlight() map[registry.Lifetime]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	counts := make(map[registry.Lifetime]int)
+	for l, known := range b.loads {
+		if known.inFlight > 0 {
+			counts[l] = known.inFlight
+		}
+	}
+	return counts
+}
+
+// Stalled returns the servers whose streams have stopped.
+func (b *Balancer) Stalled(now time.Time) []registry.Lifetime {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var stalled []registry.Lifetime
+	for l, known := range b.loads {
+		if known.stalled(now) {
+			stalled = append(stalled, l)
+		}
+	}
+	return stalled
+}
+
+// Take returns a place at the server that suits best, or nil if none has room.
+func (b *Balancer) Take(now time.Time, d Demand) *Ticket {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.table == nil {
+		return nil
+	}
+	service := b.table.Service(d.Service)
+	if service == nil {
+		return nil
+	}
+	var best *registry.Server
+	bestScore := 0.0
+	for _, s := range b.view.Servers {
+		if s.Service != d.Service {
+			continue
+		}
+		score, fits := b.score(now, s, service, d)
+		if fits && (best == nil || score < bestScore || (score == bestScore && s.ID < best.ID)) {
+			best, bestScore = s, score
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	l := b.load(best)
+	if !l.coldAllows(now, best, service.ColdRate/float64(b.entries)) {
+		return nil
+	}
+	if l.inFlight == 0 {
+		l.progress = now
+	}
+	l.inFlight++
+	return &Ticket{Server: best, balancer: b, load: l}
+}
+
+func (b *Balancer) load(s *registry.Server) *load {
+	l := b.loads[s.Lifetime()]
+	if l == nil {
+		l = &load{}
+		b.loads[s.Lifetime()] = l
+	}
+	return l
+}
+
+// score ranks a server that can take the request; a lower one is better.
+func (b *Balancer) score(now time.Time, s *registry.Server, service *routes.Service, d Demand) (float64, bool) {
+	if s.Leaving || b.out[s.Zone] || d.Tried[s.ID] {
+		return 0, false
+	}
+	slots := s.Slots
+	if service.Engine != nil {
+		if !s.Leads(d.Model) {
+			return 0, false
+		}
+		slots = service.Engine.Slots
+	}
+	l := b.load(s)
+	if service.Engine != nil && l.stalled(now) {
+		return 0, false
+	}
+	slots = max(slots, 1)
+	score := float64(l.total()) / float64(slots)
+	local := s.Zone == b.zone
+	switch {
+	case !local && float64(l.inFlight) >= remoteShare*float64(slots):
+		return 0, false
+	case l.total() >= slots+overlap:
+		return 0, false
+	case !local:
+		score += 1
+	}
+	score += 2 * l.failures
+	if now.Before(l.avoidUntil) {
+		score += 2
+	}
+	return score, true
+}
+
+// Result is how a request at a server ended.
+type Result int
+
+const (
+	// Served requests were answered.
+	Served Result = iota
+	// Left requests were given up by their caller.
+	Left
+	// Failed requests broke off or got no answer.
+	Failed
+	// Rejected requests were refused by the server.
+	Rejected
+)
+
+// Done gives the place back.
+func (t *Ticket) Done(now time.Time, r Result) {
+	b := t.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t.done {
+		return
+	}
+	t.done = true
+	t.load.inFlight--
+	switch r {
+	case Served:
+		t.load.failures *= 1 - failureWeight
+		t.load.progress = now
+	case Failed, Rejected:
+		t.load.failures += failureWeight * (1 - t.load.failures)
+		t.load.avoidUntil = now.Add(avoidFor)
+	case Left:
+	}
+}
+
+// Progress notes that the server's work advances.
+func (t *Ticket) Progress(now time.Time) {
+	t.balancer.mu.Lock()
+	defer t.balancer.mu.Unlock()
+	t.load.progress = now
+}
+
+// Stalled reports whether no stream of the server advances.
+func (t *Ticket) Stalled(now time.Time) bool {
+	t.balancer.mu.Lock()
+	defer t.balancer.mu.Unlock()
+	return t.load.stalled(now)
+}
--- /dev/null
+++ b/internal/dispatch/load.go
@@ -0,0 +1,55 @@
+package dispatch
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/registry"
+)
+
+const (
+	// stallAfter is how long no stream of a busy server may advance before it
+	// gets no new requests. A pass that reads full chunks of prompts between
+	// five token steps takes under 0.3 s.
+	stallAfter = 500 * time.Millisecond
+	// avoidFor is how long a server that failed a request is passed over while
+	// others have room.
+	avoidFor = time.Second
+	// failureWeight is the part of the latest outcome in a server's failure
+	// rate.
+	failureWeight = 0.15
+)
+
+// load is what an entry knows of one server's load and health.
+type load struct {
+	inFlight int
+	// elsewhere is what the zone's other entries have in flight there.
+	elsewhere int
+	// progress is when any stream last advanced, or when the server last
+	// became busy.
+	progress time.Time
+	// avoidUntil is set by failures.
+	avoidUntil time.Time
+	// failures is the recent share of failed requests.
+	failures float64
+	// cold paces requests while the server is cold.
+	cold *rate.Limiter
+}
+
+func (l *load) stalled(now time.Time) bool {
+	return l.inFlight > 0 && now.Sub(l.progress) > stallAfter
+}
+
+func (l *load) total() int { return l.inFlight + l.elsewhere }
+
+// coldAllows takes one request out of a cold server's rate.
+func (l *load) coldAllows(now time.Time, s *registry.Server, perEntry float64) bool {
+	if perEntry <= 0 || !s.Cold(now) {
+		return true
+	}
+	if l.cold == nil {
+		l.cold = rate.NewLimiter(rate.Limit(perEntry), max(int(perEntry/4), 1))
+	}
+	return l.cold.AllowN(now, 1)
+}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -41,6 +41,17 @@
 	OrderRecorded    = Event{606, logrus.InfoLevel, "provisional order recorded in the table"}
 	ListenerFailed   = Event{103, logrus.ErrorLevel, "listener failed"}
 	HandlerPanicked  = Event{104, logrus.ErrorLevel, "handler panicked"}
+	LinesDropped     = Event{106, logrus.WarnLevel, "log lines were dropped"}
+	ServerEntry      = Event{207, logrus.InfoLevel, "server entry changed"}
+	ServerEntryStale = Event{208, logrus.WarnLevel, "server entry is older than what is known: passed over"}
+	StewardTook      = Event{209, logrus.InfoLevel, "stewardship of the zone taken"}
+	StewardLost      = Event{210, logrus.WarnLevel, "stewardship of the zone lost"}
+	OrderGiven       = Event{411, logrus.InfoLevel, "order given to a backend server"}
+	GroupPhase       = Event{412, logrus.InfoLevel, "replica group changed its phase"}
+	ServerSilent     = Event{413, logrus.WarnLevel, "server does not answer a direct question"}
+	ServerAnswers    = Event{414, logrus.InfoLevel, "server answers direct questions again"}
+	RequestServed    = Event{503, logrus.InfoLevel, "request served"}
+	ZonesOut         = Event{607, logrus.InfoLevel, "zones that get no work changed"}
 	ShutdownTimedOut = Event{105, logrus.WarnLevel, "requests in progress were cut at the shutdown timeout"}
 )
 
@@ -55,5 +66,7 @@
 		StreamResumed, AnswerRejected, RequestFailed,
 		ConfigApplied, ConfigRejected, ConfigFromPeer, ConfigSnapshot, SnapshotFailed,
 		OrderProvisional, OrderRecorded,
+		LinesDropped, ServerEntry, ServerEntryStale, StewardTook, StewardLost,
+		OrderGiven, GroupPhase, ServerSilent, ServerAnswers, RequestServed, ZonesOut,
 	}
 }
--- /dev/null
+++ b/internal/formation/follow.go
@@ -0,0 +1,160 @@
+package formation
+
+import (
+	"time"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/registry"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/routes"
+)
+
+// follow moves one group on and orders what it needs next.
+func (s *Steward) follow(g *Group, now time.Time, v *registry.View, e *routes.Engine, contact func(string) Contact, d *Decision) {
+	for _, l := range g.Members {
+		srv := v.Servers[l.ID]
+		if standing(g, l, srv) == inGroup && srv.Member.State != registry.Joining {
+			g.wasReady[l] = true
+		}
+	}
+	switch g.Phase {
+	case Planned, Over:
+	case Forming:
+		s.form(g, now, v, e, contact, d)
+	case Serving:
+		s.serve(g, now, v, e, contact, d)
+	case Draining, Ending:
+		s.end(g, now, v, contact, d)
+	}
+}
+
+// loss is why a group can't go on.
+type loss struct {
+	reason string
+	// graceful losses leave time for requests to finish.
+	graceful bool
+}
+
+// lost returns why the group can't go on, or nil.
+func lost(g *Group, now time.Time, v *registry.View, contact func(string) Contact, d *Decision) *loss {
+	var found *loss
+	for _, l := range g.Members {
+		srv := v.Servers[l.ID]
+		place := standing(g, l, srv)
+		c := contact(l.ID)
+		switch {
+		case place == missing:
+			d.Suspects = append(d.Suspects, l.ID)
+			return &loss{reason: "member " + l.ID + " has no entry"}
+		case place == ended:
+			return &loss{reason: "member " + l.ID + " started anew"}
+		case place == outside && g.wasReady[l]:
+			return &loss{reason: "member " + l.ID + " left the group"}
+		case c.Refused, !c.FailingSince.IsZero() && now.Sub(c.FailingSince) >= lostAfter:
+			return &loss{reason: "member " + l.ID + " does not answer"}
+		case srv.Leaving:
+			found = &loss{reason: "member " + l.ID + " is leaving", graceful: true}
+		}
+	}
+	return found
+}
+
+func (s *Steward) form(g *Group, now time.Time, v *registry.View, e *routes.Engine, contact func(string) Contact, d *Decision) {
+	why := lost(g, now, v, contact, d)
+	if why == nil && now.Sub(g.Since) > formingTimeout {
+		why = &loss{reason: "its members did not get ready in time"}
+	}
+	if model, known := e.Model(g.Model); why == nil && known && len(g.Members) != model.GroupSize {
+		why = &loss{reason: "it lacks members"}
+	}
+	switch {
+	case why != nil && g.mayOpen:
+		s.move(g, Ending, now, why.reason, d)
+		s.end(g, now, v, contact, d)
+		return
+	case why != nil:
+		// No open was ordered, so that its members are free at once.
+		s.move(g, Over, now, why.reason, d)
+		return
+	case g.allReady(v):
+		s.open(g, now, d)
+		s.move(g, Serving, now, "all members are ready", d)
+		return
+	}
+	for _, l := range g.Members {
+		srv := v.Servers[l.ID]
+		if standing(g, l, srv) != outside {
+			continue
+		}
+		if s.needsLoad(srv, g.Model) && !s.loads.take(now, e, s.zones, s.loading(v, now)) && !s.ordered(l, g) {
+			continue
+		}
+		s.order(now, l, Order{Operation: Join, Group: g.ID, Model: g.Model, Members: g.memberIDs()}, d)
+	}
+}
+
+func (s *Steward) open(g *Group, now time.Time, d *Decision) {
+	g.mayOpen = true
+	s.order(now, g.leader(), Order{Operation: Open, Group: g.ID}, d)
+}
+
+// ordered reports whether the member was told to join before.
+func (s *Steward) ordered(l registry.Lifetime, g *Group) bool {
+	_, found := s.sent[orderKey{l, Join, g.ID, g.Model}]
+	return found
+}
+
+func (s *Steward) serve(g *Group, now time.Time, v *registry.View, e *routes.Engine, contact func(string) Contact, d *Decision) {
+	why := lost(g, now, v, contact, d)
+	leader := v.Servers[g.leader().ID]
+	if model, known := e.Model(g.Model); why == nil && known && len(g.Members) != model.GroupSize {
+		why = &loss{reason: "it lacks members"}
+	}
+	if why == nil && leader.Member != nil && leader.Member.State == registry.Broken {
+		why = &loss{reason: "its leader reports it broken"}
+	}
+	switch {
+	case why == nil:
+		if leader.Member != nil && leader.Member.State == registry.Ready && g.allReady(v) {
+			s.open(g, now, d)
+		}
+	case why.graceful:
+		s.move(g, Draining, now, why.reason, d)
+		s.end(g, now, v, contact, d)
+	default:
+		s.move(g, Ending, now, why.reason, d)
+		s.end(g, now, v, contact, d)
+	}
+}
+
+// end waits until the group can never serve again.
+func (s *Steward) end(g *Group, now time.Time, v *registry.View, contact func(string) Contact, d *Decision) {
+	l := g.leader()
+	srv := v.Servers[l.ID]
+	switch standing(g, l, srv) {
+	case ended:
+		s.move(g, Over, now, "its leader started anew", d)
+	case outside:
+		s.move(g, Over, now, "its leader has left", d)
+	case missing:
+		d.Suspects = append(d.Suspects, l.ID)
+		c := contact(l.ID)
+		if !c.FailingSince.IsZero() && now.Sub(c.FailingSince) >= leaderGoneAfter {
+			s.move(g, Over, now, "its leader is gone", d)
+		}
+	case inGroup:
+		s.endLeader(g, now, srv, v, contact, d)
+	}
+}
+
+func (s *Steward) endLeader(g *Group, now time.Time, leader *registry.Server, v *registry.View, contact func(string) Contact, d *Decision) {
+	if g.Phase == Draining {
+		if why := lost(g, now, v, contact, d); why != nil && !why.graceful {
+			s.move(g, Ending, now, why.reason, d)
+		} else if leader.Member.State == registry.Ready || now.Sub(g.Since) > drainTimeout {
+			s.move(g, Ending, now, "its requests have finished", d)
+		} else {
+			s.order(now, g.leader(), Order{Operation: Close, Group: g.ID}, d)
+			return
+		}
+	}
+	s.order(now, g.leader(), Order{Operation: Leave, Group: g.ID}, d)
+}
--- /dev/null
+++ b/internal/formation/steward.go
@@ -0,0 +1,222 @@
+package formation
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/registry"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/routes"
+)
+
+const (
+	// lostAfter is how long a member must leave direct questions unanswered
+	// before its group is given up; two questions fail in that time.
+	lostAfter = 500 * time.Millisecond
+	// leaderGoneAfter is how long a leader must be without an entry and leave
+	// direct questions unanswered before its lifetime counts as over. A leader
+	// that is only cut off from the store answers them.
+	leaderGoneAfter = 3 * time.Second
+	// resendAfter is how long an order may go unanswered or without effect; an
+	// answer takes some milliseconds.
+	resendAfter = time.Second
+	// formingTimeout bounds a group's formation: the longest load, slowed by
+	// others.
+	formingTimeout = 45 * time.Second
+	// drainTimeout is how long requests of a closing group may take before its
+	// leader leaves: a draining member stays 10 s at most while there is work.
+	drainTimeout = 8 * time.Second
+)
+
+// Contact is what direct questions to a server showed.
+type Contact struct {
+	// FailingSince is when the first of the unanswered questions was asked;
+	// zero after an answer.
+	FailingSince time.Time
+	// Refused says that nothing listens at the address any more.
+	Refused bool
+}
+
+// Steward decides for one zone. It is not safe for concurrent use.
+type Steward struct {
+	zone   string
+	zones  int
+	epoch  int64
+	number int64
+	groups map[registry.GroupID]*Group
+	sent   map[orderKey]sentOrder
+	loads  *loadLimit
+	// over remembers the members of ended groups until their servers show
+	// something else.
+	over map[registry.GroupID]bool
+}
+
+type orderKey struct {
+	server    registry.Lifetime
+	operation Operation
+	group     registry.GroupID
+	model     string
+}
+
+type sentOrder struct {
+	at      time.Time
+	outcome Outcome
+}
+
+// epochStep is how many groups one term of stewardship can form.
+const epochStep = 1 << 20
+
+// NewSteward returns the Steward of a zone, one of so many zones. The term is
+// higher than that of every earlier steward of the zone; recorded are the
+// groups that the store holds.
+func NewSteward(zone string, zones int, term uint64, recorded []*Group) *Steward {
+	s := &Steward{
+		zone: zone, zones: max(zones, 1), epoch: int64(term) * epochStep,
+		groups: make(map[registry.GroupID]*Group), sent: make(map[orderKey]sentOrder),
+		loads: newLoadLimit(), over: make(map[registry.GroupID]bool),
+	}
+	for _, g := range recorded {
+		s.groups[g.ID] = g
+	}
+	return s
+}
+
+// Decision is what one step came to.
+type Decision struct {
+	// Record lists new groups: they get orders once Recorded is told.
+	Record []*Group
+	// Forget lists groups whose record is needless.
+	Forget []registry.GroupID
+	Orders []Order
+	// Notes are the reasons of what changed, for the log.
+	Notes []Note
+	// Suspects are servers that should be asked directly.
+	Suspects []string
+}
+
+// Note explains one change.
+type Note struct {
+	Group  registry.GroupID
+	Model  string
+	Phase  Phase
+	Reason string
+	After  time.Duration
+}
+
+// Groups returns the known groups in order of their epochs.
+func (s *Steward) Groups() []*Group {
+	list := make([]*Group, 0, len(s.groups))
+	for _, g := range s.groups {
+		list = append(list, g)
+	}
+	slices.SortFunc(list, func(a, b *Group) int {
+		if a.ID.Epoch != b.ID.Epoch {
+			return int(a.ID.Epoch - b.ID.Epoch)
+		}
+		return strings.Compare(a.ID.Name, b.ID.Name)
+	})
+	return list
+}
+
+// Recorded tells that the store holds the group.
+func (s *Steward) Recorded(id registry.GroupID, now time.Time) {
+	if g := s.groups[id]; g != nil && g.Phase == Planned {
+		g.enter(Forming, now, "")
+	}
+}
+
+// Unrecorded tells that the store took no record of the group.
+func (s *Steward) Unrecorded(id registry.GroupID) {
+	delete(s.groups, id)
+}
+
+// Outcome tells what became of an order.
+func (s *Steward) Outcome(o Order, born int64, outcome Outcome, now time.Time) {
+	key := orderKey{registry.Lifetime{ID: o.Server, Born: born}, o.Operation, o.Group, o.Model}
+	s.sent[key] = sentOrder{at: now, outcome: outcome}
+}
+
+// Step decides from the view, the service's engine and direct contacts.
+func (s *Steward) Step(now time.Time, v *registry.View, service string, e *routes.Engine, contact func(id string) Contact) Decision {
+	d := &Decision{}
+	s.adopt(now, v, service, d)
+	for _, g := range s.Groups() {
+		s.follow(g, now, v, e, contact, d)
+	}
+	s.plan(now, v, service, e, contact, d)
+	for id, g := range s.groups {
+		if g.Phase == Over {
+			delete(s.groups, id)
+			s.over[id] = true
+			d.Forget = append(d.Forget, id)
+		}
+	}
+	return *d
+}
+
+// adopt takes over groups that servers report and the store has no record of.
+// Their leader is known only if its entry is there.
+func (s *Steward) adopt(now time.Time, v *registry.View, service string, d *Decision) {
+	found := make(map[registry.GroupID][]*registry.Server)
+	for _, srv := range v.Servers {
+		if srv.Zone != s.zone || srv.Service != service || srv.Member == nil {
+			continue
+		}
+		id := srv.Member.Group
+		if s.groups[id] == nil && !s.over[id] {
+			found[id] = append(found[id], srv)
+		}
+	}
+	for id, members := range found {
+		slices.SortFunc(members, func(a, b *registry.Server) int { return a.Member.Rank - b.Member.Rank })
+		if members[0].Member.Rank != 0 {
+			continue // without its leader's identity nothing can be decided
+		}
+		lifetimes := make([]registry.Lifetime, 0, len(members))
+		for _, m := range members {
+			lifetimes = append(lifetimes, m.Lifetime())
+		}
+		g := Inherited(id, members[0].Member.Model, lifetimes, now)
+		if members[0].Member.State != registry.Joining && members[0].Member.State != registry.Ready {
+			g.Phase = Serving
+		}
+		s.groups[id] = g
+		d.note(g, "adopted from the servers' entries", now)
+	}
+}
+
+func (d *Decision) note(g *Group, reason string, now time.Time) {
+	d.Notes = append(d.Notes, Note{
+		Group: g.ID, Model: g.Model, Phase: g.Phase, Reason: reason, After: now.Sub(g.Since),
+	})
+}
+
+func (s *Steward) move(g *Group, p Phase, now time.Time, reason string, d *Decision) {
+	after := now.Sub(g.Since)
+	g.enter(p, now, reason)
+	d.Notes = append(d.Notes, Note{Group: g.ID, Model: g.Model, Phase: p, Reason: reason, After: after})
+}
+
+// order adds an order unless the same one is under way.
+func (s *Steward) order(now time.Time, l registry.Lifetime, o Order, d *Decision) {
+	o.Server = l.ID
+	key := orderKey{l, o.Operation, o.Group, o.Model}
+	if last, found := s.sent[key]; found {
+		wait := resendAfter
+		if last.outcome == Begun && (o.Operation == Join || o.Operation == Stage) {
+			wait = formingTimeout
+		}
+		if now.Sub(last.at) < wait {
+			return
+		}
+	}
+	s.sent[key] = sentOrder{at: now}
+	d.Orders = append(d.Orders, o)
+}
+
+func (s *Steward) nextID() registry.GroupID {
+	s.number++
+	epoch := s.epoch + s.number
+	return registry.GroupID{Name: fmt.Sprintf("%s-%d", s.zone, epoch), Epoch: epoch}
+}
--- /dev/null
+++ b/internal/gateway/contacts.go
@@ -0,0 +1,116 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/boottime"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/event"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/formation"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/registry"
+)
+
+const (
+	// askTimeout bounds one direct question: an answer takes a round trip.
+	askTimeout = 300 * time.Millisecond
+	// askEvery is the least time between two questions to one server; each is
+	// paid for.
+	askEvery = 300 * time.Millisecond
+)
+
+// contacts asks servers directly that are suspected of being gone.
+type contacts struct {
+	gateway *Gateway
+
+	mu    sync.Mutex
+	known map[string]*contactState
+}
+
+type contactState struct {
+	formation.Contact
+	address string
+	asking  bool
+	askedAt time.Time
+}
+
+func newContacts(g *Gateway) *contacts {
+	return &contacts{gateway: g, known: make(map[string]*contactState)}
+}
+
+// contact returns what direct questions to the server showed.
+func (c *contacts) contact(id string) formation.Contact {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s := c.known[id]; s != nil {
+		return s.Contact
+	}
+	return formation.Contact{}
+}
+
+// ask asks the suspects, and those that have not answered yet.
+func (c *contacts) ask(ctx context.Context, v *registry.View, suspects []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := boottime.Now()
+	for _, id := range suspects {
+		if c.known[id] == nil {
+			c.known[id] = &contactState{}
+		}
+		if srv := v.Servers[id]; srv != nil {
+			c.known[id].address = srv.Address
+		} else if c.known[id].address == "" {
+			c.known[id].address = c.gateway.lastAddress(id)
+		}
+	}
+	for id, s := range c.known {
+		if _, listed := v.Servers[id]; !listed && s.FailingSince.IsZero() && now.Sub(s.askedAt) > time.Minute {
+			delete(c.known, id)
+			continue
+		}
+		suspected := !s.FailingSince.IsZero()
+		for _, suspect := range suspects {
+			suspected = suspected || suspect == id
+		}
+		if !suspected || s.asking || s.address == "" || now.Sub(s.askedAt) < askEvery {
+			continue
+		}
+		if !s.FailingSince.IsZero() && now.Sub(s.FailingSince) > time.Minute {
+			delete(c.known, id)
+			continue
+		}
+		s.asking, s.askedAt = true, now
+		c.gateway.metrics.reports.Add(1)
+		c.gateway.loop(func() { c.askOne(ctx, id, s.address) })
+	}
+}
+
+func (c *contacts) askOne(ctx context.Context, id, address string) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	_, err := c.gateway.platform.Report(ctx, registry.Server{ID: id, Address: address})
+	now := boottime.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.known[id]
+	if s == nil {
+		return
+	}
+	s.asking = false
+	if err == nil {
+		if !s.FailingSince.IsZero() {
+			event.ServerAnswers.Log(c.gateway.logger, logrus.Fields{"server": id, "silent-ms": now.Sub(s.FailingSince).Milliseconds()})
+		}
+		s.Contact = formation.Contact{}
+		return
+	}
+	if s.FailingSince.IsZero() {
+		s.FailingSince = s.askedAt
+		event.ServerSilent.Log(c.gateway.logger, logrus.Fields{"server": id, "address": address, "error": err})
+	}
+	s.Refused = errors.Is(err, syscall.ECONNREFUSED)
+}
--- /dev/null
+++ b/internal/gateway/members.go
@@ -0,0 +1,110 @@
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/boottime"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/event"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/membership"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/store"
+	etcd "github.com/hibiscuspulley/hibiscuspulley/pkg/platform"
+)
+
+const (
+	// entryTable holds one session row for each entry.
+	entryTable = "entries"
+	// assumedEntries is how many entries share the bounds until the rows were
+	// read: more than the 6 to 8 of a small site.
+	assumedEntries = 12
+	// memberCallTimeout bounds one call to the store.
+	memberCallTimeout = 1500 * time.Millisecond
+)
+
+// members keeps the entry's own session row and reads the others'.
+type members struct {
+	gateway *Gateway
+	session membership.Session
+	watcher *membership.Watcher
+	timing  membership.Timing
+	live    atomic.Int64
+}
+
+func newMembers(g *Gateway) *members {
+	timing := membership.DefaultTiming()
+	m := &members{
+		gateway: g, watcher: membership.NewWatcher(timing), timing: timing,
+		session: membership.Session{
+			Entry: g.settings.Name, Zone: g.settings.Zone, Address: g.settings.PeerAddress,
+			Incarnation: boottime.Now().Format(time.RFC3339Nano), Epoch: 1, State: membership.Live,
+		},
+	}
+	m.live.Store(assumedEntries)
+	return m
+}
+
+// count returns how many entries are live.
+func (m *members) count() int { return int(m.live.Load()) }
+
+func (m *members) run(ctx context.Context) {
+	ticker := time.NewTicker(m.timing.Renew)
+	defer ticker.Stop()
+	for {
+		m.renew(ctx)
+		m.read(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (m *members) renew(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, memberCallTimeout)
+	defer cancel()
+	m.session.Counter++
+	key := store.RowKey{Table: entryTable, Key: membership.Key(m.session.Zone, m.session.Entry)}
+	_, err := m.gateway.platform.Store.Commit(ctx, store.Transaction{
+		Puts: []store.Put{{RowKey: key, Value: membership.Encode(m.session)}},
+	})
+	if err != nil {
+		m.gateway.logger.WithError(err).Debug("session row not renewed; tried again at the next interval")
+	}
+}
+
+func (m *members) read(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, memberCallTimeout)
+	defer cancel()
+	sentAt := boottime.Now()
+	page, err := m.gateway.platform.Store.ReadAll(ctx, entryTable, "")
+	if err != nil {
+		m.gateway.logger.WithError(err).Debug("session rows not read; tried again at the next interval")
+		return
+	}
+	rows := make([]membership.Row, 0, len(page.Rows))
+	for _, row := range page.Rows {
+		decoded, err := decodeSession(row)
+		if err != nil {
+			event.RowUnreadable.Log(m.gateway.logger, logrus.Fields{"table": entryTable, "key": row.Key, "error": err})
+			continue
+		}
+		rows = append(rows, decoded)
+	}
+	m.watcher.Observe(sentAt, rows)
+	live := 0
+	for _, row := range rows {
+		if row.State == membership.Live && !m.watcher.Silent(row) {
+			live++
+		}
+	}
+	m.live.Store(int64(max(live, 1)))
+	m.gateway.balancer.SetEntries(max(live, 1))
+}
+
+func decodeSession(row store.Row) (membership.Row, error) {
+	return membership.Decode(etcd.Row{Key: row.Key, Value: row.Value, Version: row.Version})
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"expvar"
+	"strconv"
+	"sync"
+)
+
+// metrics are the entry's counters, served in expvar's format.
+type metrics struct {
+	vars        *expvar.Map
+	requests    expvar.Int
+	resumed     expvar.Int
+	cut         expvar.Int
+	budgetEmpty expvar.Int
+	storeCalls  expvar.Int
+	orders      expvar.Int
+	reports     expvar.Int
+	dropped     expvar.Func
+
+	mu       sync.Mutex
+	statuses map[int]*expvar.Int
+}
+
+func newMetrics() *metrics {
+	m := &metrics{vars: new(expvar.Map).Init(), statuses: make(map[int]*expvar.Int)}
+	m.vars.Set("requests", &m.requests)
+	m.vars.Set("streams-resumed", &m.resumed)
+	m.vars.Set("streams-cut", &m.cut)
+	m.vars.Set("repeat-budget-empty", &m.budgetEmpty)
+	m.vars.Set("store-calls", &m.storeCalls)
+	m.vars.Set("orders", &m.orders)
+	m.vars.Set("reports", &m.reports)
+	return m
+}
+
+// status counts a final answer.
+func (m *metrics) status(status int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := m.statuses[status]
+	if n == nil {
+		n = new(expvar.Int)
+		m.statuses[status] = n
+		m.vars.Set("answers-"+strconv.Itoa(status), n)
+	}
+	n.Add(1)
+}
--- /dev/null
+++ b/internal/gateway/stewardship.go
@@ -0,0 +1,343 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/boottime"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/event"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/formation"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/membership"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/registry"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/routes"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/store"
+)
+
+const (
+	// stewardTable holds, in a part for each zone, the steward's session and
+	// the records of its groups.
+	stewardTable = "stewards"
+	// stepEvery is the longest time between two steps.
+	stepEvery = 100 * time.Millisecond
+	// contendEvery is how often an entry without the lease looks at it.
+	contendEvery = time.Second
+	// orderTimeout bounds one order; a server answers in a round trip.
+	orderTimeout = 700 * time.Millisecond
+	// orderMargin is how long the lease must still hold when orders are given.
+	orderMargin = 300 * time.Millisecond
+	// storeTimeout bounds one call to the store; a slow one takes 0.3 s.
+	storeTimeout = 1200 * time.Millisecond
+)
+
+// stewardTiming is shorter than that of entries' sessions: while a zone has no
+// steward, its groups are not repaired.
+func stewardTiming() membership.Timing {
+	return membership.Timing{Renew: time.Second, Term: 3 * time.Second, Grace: 500 * time.Millisecond}
+}
+
+// stewardship holds or contends for the lease on the zone's groups.
+type stewardship struct {
+	gateway *Gateway
+	holder  *membership.Holder
+	watcher *membership.Watcher
+	kicks   chan struct{}
+	asks    *contacts
+
+	mu sync.Mutex
+	// steward is set while this entry holds the lease.
+	steward     *formation.Steward
+	nextContend time.Time
+	renewedAt   time.Time
+	// resigned entries don't contend again.
+	resigned bool
+}
+
+func newStewardship(g *Gateway) *stewardship {
+	timing := stewardTiming()
+	return &stewardship{
+		gateway: g, watcher: membership.NewWatcher(timing), kicks: make(chan struct{}, 1), asks: newContacts(g),
+		holder: membership.NewHolder(membership.Session{
+			Entry: g.settings.Name, Zone: g.settings.Zone, Address: g.settings.PeerAddress,
+			Incarnation: g.settings.Name + "/" + boottime.Now().Format(time.RFC3339Nano),
+		}, timing),
+	}
+}
+
+// kick makes the next step come at once.
+func (s *stewardship) kick() {
+	select {
+	case s.kicks <- struct{}{}:
+	default:
+	}
+}
+
+func (s *stewardship) run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-s.kicks:
+		}
+		s.mu.Lock()
+		s.step(ctx)
+		s.mu.Unlock()
+		timer.Reset(stepEvery)
+	}
+}
+
+func (s *stewardship) step(ctx context.Context) {
+	now := boottime.Now()
+	if s.steward == nil {
+		if !s.resigned && !now.Before(s.nextContend) {
+			s.nextContend = now.Add(contendEvery)
+			s.contend(ctx, now)
+		}
+		return
+	}
+	service, engine := s.service()
+	if engine == nil {
+		s.renewIfDue(ctx, now, nil, nil)
+		return
+	}
+	v := s.gateway.registry.View()
+	d := s.steward.Step(now, v, service, engine, s.asks.contact)
+	s.logNotes(d.Notes)
+	s.asks.ask(ctx, v, append(d.Suspects, s.stalledMembers(v)...))
+	if !s.renewIfDue(ctx, now, d.Record, d.Forget) {
+		return
+	}
+	if !s.holder.ValidFor(boottime.Now(), orderMargin) {
+		return
+	}
+	for _, o := range d.Orders {
+		s.give(ctx, v, o)
+	}
+	if len(d.Record) > 0 {
+		s.kick()
+	}
+}
+
+// service returns the model service that the zone's groups serve.
+func (s *stewardship) service() (string, *routes.Engine) {
+	table := s.gateway.beliefs.table.Load()
+	if table == nil {
+		return "", nil
+	}
+	for i := range table.Config.Services {
+		if e := table.Config.Services[i].Engine; e != nil && len(e.Models) > 0 {
+			return table.Config.Services[i].Name, e
+		}
+	}
+	return "", nil
+}
+
+// stalledMembers returns the members of groups whose streams have stopped.
+func (s *stewardship) stalledMembers(v *registry.View) []string {
+	var ids []string
+	stalled := make(map[registry.GroupID]bool)
+	for _, l := range s.gateway.balancer.Stalled(time.Now()) {
+		if srv := v.Servers[l.ID]; srv != nil && srv.Member != nil {
+			stalled[srv.Member.Group] = true
+		}
+	}
+	if len(stalled) == 0 {
+		return nil
+	}
+	for id, srv := range v.Servers {
+		if srv.Member != nil && stalled[srv.Member.Group] {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func (s *stewardship) rowKey(key string) store.RowKey {
+	return store.RowKey{Table: stewardTable, Part: s.gateway.settings.Zone, Key: key}
+}
+
+const (
+	holderKey   = "holder"
+	groupPrefix = "group/"
+)
+
+func attempt() string { return strconv.FormatUint(rand.Uint64(), 36) }
+
+// contend looks at the lease and takes it when it is free.
+func (s *stewardship) contend(ctx context.Context, now time.Time) {
+	row, groups, err := s.readRows(ctx, now)
+	if err != nil {
+		s.gateway.logger.WithError(err).Debug("the zone's lease could not be read; tried again later")
+		return
+	}
+	s.watcher.Observe(now, []membership.Row{row})
+	if row.Version != 0 && row.State == membership.Live {
+		if !s.watcher.Silent(row) {
+			return
+		}
+		row.Session = membership.Lapse(row, attempt())
+	}
+	next, ok := s.holder.Open(row, attempt())
+	if !ok {
+		return
+	}
+	sentAt := boottime.Now()
+	version, err := s.commit(ctx, next, row.Version, nil, nil)
+	if err != nil {
+		s.gateway.logger.WithError(err).Debug("the zone's lease was not taken")
+		return
+	}
+	s.holder.Confirm(next, version, sentAt)
+	s.renewedAt = sentAt
+	s.steward = formation.NewSteward(s.gateway.settings.Zone, len(s.gateway.settings.Zones), next.Epoch, groups)
+	event.StewardTook.Log(s.gateway.logger, logrus.Fields{"term": next.Epoch, "groups": len(groups), "row-version": version})
+	s.kick()
+}
+
+// readRows returns the lease's row and the recorded groups.
+func (s *stewardship) readRows(ctx context.Context, now time.Time) (membership.Row, []*formation.Group, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	page, err := s.gateway.platform.Store.ReadAll(ctx, stewardTable, s.gateway.settings.Zone)
+	if err != nil {
+		return membership.Row{}, nil, err
+	}
+	var lease membership.Row
+	var groups []*formation.Group
+	for _, row := range page.Rows {
+		var err error
+		if row.Key == holderKey {
+			lease, err = decodeSession(row)
+		} else {
+			var g *formation.Group
+			if g, err = formation.DecodeGroup(row.Value, now); err == nil {
+				groups = append(groups, g)
+			}
+		}
+		if err != nil {
+			event.RowUnreadable.Log(s.gateway.logger, logrus.Fields{"table": stewardTable, "key": row.Key, "error": err})
+		}
+	}
+	return lease, groups, nil
+}
+
+// commit writes the lease's row over the version, with records of groups.
+func (s *stewardship) commit(ctx context.Context, next membership.Session, version int64, record []*formation.Group, forget []registry.GroupID) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	lease := s.rowKey(holderKey)
+	t := store.Transaction{
+		Conditions: []store.Condition{{RowKey: lease, Version: version}},
+		Puts:       []store.Put{{RowKey: lease, Value: membership.Encode(next)}},
+	}
+	for _, g := range record {
+		t.Puts = append(t.Puts, store.Put{RowKey: s.rowKey(groupPrefix + g.ID.Name), Value: formation.EncodeGroup(g)})
+	}
+	for _, id := range forget {
+		t.Deletes = append(t.Deletes, s.rowKey(groupPrefix+id.Name))
+	}
+	return s.gateway.platform.Store.Commit(ctx, t)
+}
+
+// renewIfDue renews the lease at its interval, or at once where groups are to
+// be recorded. It reports whether orders may be given.
+func (s *stewardship) renewIfDue(ctx context.Context, now time.Time, record []*formation.Group, forget []registry.GroupID) bool {
+	if len(record) == 0 && now.Sub(s.renewedAt) < stewardTiming().Renew {
+		return true
+	}
+	next, version, open := s.holder.Renewal(attempt())
+	if !open {
+		s.lose("the lease is not open")
+		return false
+	}
+	s.renewedAt = now
+	sentAt := boottime.Now()
+	written, err := s.commit(ctx, next, version, record, forget)
+	if err == nil {
+		s.holder.Confirm(next, written, sentAt)
+		for _, g := range record {
+			s.steward.Recorded(g.ID, sentAt)
+		}
+		return true
+	}
+	for _, g := range record {
+		s.steward.Unrecorded(g.ID)
+	}
+	// The write may have taken effect; the row tells.
+	row, _, readErr := s.readRows(ctx, now)
+	switch {
+	case readErr == nil && !s.holder.Observe(row):
+		s.lose("another entry holds the lease: " + row.Incarnation)
+		return false
+	case readErr != nil && !errors.Is(err, store.ErrConflict) && !s.holder.ValidFor(boottime.Now(), 0):
+		s.gateway.logger.WithError(err).Debug("the lease has run out and can't be renewed")
+	}
+	return true
+}
+
+func (s *stewardship) lose(reason string) {
+	s.steward = nil
+	event.StewardLost.Log(s.gateway.logger, logrus.Fields{"reason": reason})
+}
+
+// give sends an order in the background.
+func (s *stewardship) give(ctx context.Context, v *registry.View, o formation.Order) {
+	srv := v.Servers[o.Server]
+	if srv == nil {
+		return
+	}
+	steward := s.steward
+	s.gateway.metrics.orders.Add(1)
+	s.gateway.loop(func() {
+		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		started := time.Now()
+		outcome, err := s.gateway.platform.Order(ctx, srv.Address, o)
+		fields := logrus.Fields{
+			"server": o.Server, "operation": string(o.Operation), "group": o.Group.Name, "model": o.Model,
+			"outcome": outcome.String(), "ms": time.Since(started).Milliseconds(),
+		}
+		if err != nil {
+			fields["error"] = err
+		}
+		event.OrderGiven.Log(s.gateway.logger, fields)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		steward.Outcome(o, srv.Born, outcome, boottime.Now())
+	})
+}
+
+func (s *stewardship) logNotes(notes []formation.Note) {
+	for _, n := range notes {
+		event.GroupPhase.Log(s.gateway.logger, logrus.Fields{
+			"group": n.Group.Name, "model": n.Model, "phase": n.Phase.String(), "reason": n.Reason,
+			"after-ms": n.After.Milliseconds(),
+		})
+	}
+}
+
+// resign gives the lease up, so that another entry takes it at once.
+func (s *stewardship) resign(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resigned = true
+	if s.steward == nil {
+		return
+	}
+	s.steward = nil
+	next, version, open := s.holder.Closing(attempt())
+	if !open {
+		return
+	}
+	if _, err := s.commit(ctx, next, version, nil, nil); err != nil {
+		s.gateway.logger.WithError(err).Warn("the lease was not given up; it lapses")
+	}
+}
--- /dev/null
+++ b/internal/registry/registry.go
@@ -0,0 +1,120 @@
+package registry
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// View is an immutable state of the registry.
+type View struct {
+	// Servers are the known servers by their ID.
+	Servers map[string]*Server
+	// Gone is when a removed server's entry was seen to go.
+	Gone map[string]time.Time
+	// Former holds the last entry of each removed server.
+	Former map[string]*Server
+	// Version is the store's version that the view is known up to.
+	Version int64
+	// AsOf is the time before the read that the view comes from.
+	AsOf time.Time
+}
+
+// Change is one server's new entry; a nil Server means that the entry is gone.
+type Change struct {
+	ID     string
+	Server *Server
+}
+
+// goneFor is how long a removed server is remembered: longer than a silent
+// member holds up its group.
+const goneFor = time.Minute
+
+// Registry holds the newest view. It is safe for concurrent use.
+type Registry struct {
+	mu   sync.Mutex
+	view atomic.Pointer[View]
+	// Stale learns of an entry that is older than what is known.
+	stale func(known, dropped *Server)
+}
+
+// New returns an empty Registry. stale learns of entries that were passed
+// over since they are older than what is known.
+func New(stale func(known, dropped *Server)) *Registry {
+	r := &Registry{stale: stale}
+	r.view.Store(&View{Servers: map[string]*Server{}, Gone: map[string]time.Time{}, Former: map[string]*Server{}})
+	return r
+}
+
+// View returns the newest view.
+func (r *Registry) View() *View {
+	return r.view.Load()
+}
+
+// Apply takes changes in order. With whole, servers without a change are gone.
+func (r *Registry) Apply(changes []Change, whole bool, version int64, asOf, now time.Time) *View {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old := r.view.Load()
+	next := &View{
+		Servers: make(map[string]*Server, len(old.Servers)),
+		Gone:    make(map[string]time.Time, len(old.Gone)),
+		Former:  make(map[string]*Server, len(old.Former)),
+		Version: version, AsOf: asOf,
+	}
+	for id, at := range old.Gone {
+		if now.Sub(at) < goneFor {
+			next.Gone[id], next.Former[id] = at, old.Former[id]
+		}
+	}
+	for id, s := range old.Servers {
+		next.Servers[id] = s
+	}
+	listed := make(map[string]bool, len(changes))
+	for _, c := range changes {
+		listed[c.ID] = true
+		r.apply(next, c, now)
+	}
+	if whole {
+		for id := range old.Servers {
+			if !listed[id] {
+				next.remove(id, now)
+			}
+		}
+	}
+	r.view.Store(next)
+	return next
+}
+
+func (r *Registry) apply(v *View, c Change, now time.Time) {
+	if c.Server == nil {
+		v.remove(c.ID, now)
+		return
+	}
+	known := v.Servers[c.ID]
+	if known != nil && older(c.Server, known) {
+		r.stale(known, c.Server)
+		return
+	}
+	delete(v.Gone, c.ID)
+	delete(v.Former, c.ID)
+	v.Servers[c.ID] = c.Server
+}
+
+// older reports whether an entry was written before the known one: by an
+// earlier lifetime, or with fewer orders of the same one.
+func older(s, known *Server) bool {
+	if s.Born != known.Born {
+		return s.Born < known.Born
+	}
+	return s.Orders < known.Orders
+}
+
+func (v *View) remove(id string, now time.Time) {
+	known := v.Servers[id]
+	if known == nil {
+		return
+	}
+	delete(v.Servers, id)
+	v.Gone[id], v.Former[id] = now, known
+}
--- /dev/null
+++ b/internal/routes/table.go
@@ -0,0 +1,95 @@
+package routes
+
+import (
+	"net"
+	"slices"
+	"strings"
+)
+
+// Table is a configuration prepared for look-ups. It is immutable.
+type Table struct {
+	Config Config
+
+	hosts    map[string][]*Route
+	services map[string]*Service
+	keys     map[string]*Organisation
+}
+
+// NewTable prepares a configuration.
+func NewTable(c Config) *Table {
+	t := &Table{
+		Config:   c,
+		hosts:    make(map[string][]*Route),
+		services: make(map[string]*Service, len(c.Services)),
+		keys:     make(map[string]*Organisation),
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		t.hosts[r.Host] = append(t.hosts[r.Host], r)
+	}
+	for _, list := range t.hosts {
+		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for i := range c.Services {
+		t.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Organisations {
+		o := &c.Organisations[i]
+		for _, key := range o.Keys {
+			t.keys[key] = o
+		}
+	}
+	return t
+}
+
+// Route returns the route with the longest prefix of the path, or nil. A port
+// in the host does not count.
+func (t *Table) Route(host, path string) *Route {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, r := range t.hosts[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service returns a service, or nil.
+func (t *Table) Service(name string) *Service {
+	return t.services[name]
+}
+
+// Organisation returns the holder of a key, or nil.
+func (t *Table) Organisation(key string) *Organisation {
+	if key == "" {
+		return nil
+	}
+	return t.keys[key]
+}
+
+// NeedsKey reports whether requests of the route carry a key.
+func (t *Table) NeedsKey(r *Route) bool {
+	return !r.Public && len(t.Config.Organisations) > 0
+}
+
+// Pick returns the service that takes a request of the route, given a point
+// drawn evenly from 0 to 1.
+func (r *Route) Pick(point float64) string {
+	total := 0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	left := point * float64(total)
+	for _, s := range r.Split {
+		left -= float64(s.Weight)
+		if left < 0 {
+			return s.Service
+		}
+	}
+	if len(r.Split) == 0 {
+		return ""
+	}
+	return r.Split[len(r.Split)-1].Service
+}
