Peers' exchanges don't wait behind a relayed write

TestAZoneThatIsCutOffTakesOrders failed once or twice in 40 runs: a zone that is cut off from the platform had 2 of 3 groups open, or 1.

Cause: a peer's server answered the requests of one connection one after another. An entry that has lost the platform renews its session through its neighbour. In a zone that is cut off, the neighbour's call waits for its 2 s timeout, and the exchange that renews permits waits behind it. Permits of the groups that the neighbour owns ran out every few seconds until the entry watched them itself. Besides, the call that is relayed lasted longer than the 1.5 s after which the asking side takes the connection for silent and closes it.

Now the server answers up to eight requests of a connection at once, and a relayed write is given up after 1 s.

Ruled out: late probes (all permits had been asked for at their interval; the trace of grants shows that none came from the neighbour at 8.5 s and 9.0 s, 10.5 s and 11.0 s, 14.0 s and 14.5 s of the run), and the test's own order, which reached both entries.

--- a/internal/entry/session_keeper.go
+++ b/internal/entry/session_keeper.go
@@ -13,6 +13,10 @@
 	"github.com/hibiscuspulley/hibiscuspulley/pkg/platform"
 )
 
+// relayTimeout bounds a write on behalf of a peer. It is below the time that a
+// peer waits for an answer before it replaces the connection.
+const relayTimeout = time.Second
+
 // sessionKeeper opens, renews and closes the entry's session.
 type sessionKeeper struct {
 	logger   *logrus.Logger
@@ -110,6 +114,8 @@
 
 // answerRelay writes a session row on behalf of a peer.
 func (k *sessionKeeper) answerRelay(ctx context.Context, r peer.Relay) peer.RelayReply {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
 	outcome, err := k.platform.Commit(ctx, platform.Transaction{
 		Compares: []platform.Compare{{Key: r.Key, Version: r.Version}},
 		Puts:     []platform.Put{{Key: r.Key, Value: r.Value}},
--- a/internal/fleet/focused_test.go
+++ b/internal/fleet/focused_test.go
@@ -267,6 +267,23 @@
 	})
 }
 
+// Session renewals that wait for the lost platform must not interrupt the
+// permits that the entries of the zone grant each other.
+func TestPermitsOfAZoneThatIsCutOffLast(t *testing.T) {
+	plan := fleet.DefaultPlan()
+	plan.LogLevel = "fatal"
+	inFleet(t, plan, func(ctx context.Context, t *testing.T, f *fleet.Fleet) {
+		for _, other := range []string{"b", "c", fleet.PlatformZone} {
+			f.Network.Cut("a", other)
+		}
+		for cutOff := time.Now(); time.Since(cutOff) < 10*time.Second; time.Sleep(130 * time.Millisecond) {
+			for _, m := range f.Entries()[:2] {
+				require.Equal(t, plan.GroupsPerZone, openGroups(ctx, t, f, m), "%s after %s", m.Name, time.Since(cutOff))
+			}
+		}
+	})
+}
+
 func TestAZoneThatIsCutOffTakesOrders(t *testing.T) {
 	plan := fleet.DefaultPlan()
 	plan.LogLevel = "fatal"
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/coder/websocket"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/hibiscuspulley/hibiscuspulley/internal/permit"
 )
@@ -18,6 +19,10 @@
 	// silenceTimeout is how long a connection may carry nothing.
 	silenceTimeout = 5 * time.Second
 	writeTimeout   = 2 * time.Second
+	// maxAnswers is how many requests of one connection are answered at once.
+	// A peer has an exchange, a relay and a configuration pull under way at
+	// most; the rest is room for calls that it has given up.
+	maxAnswers = 8
 )
 
 // Handler answers a peer's request.
@@ -81,9 +86,12 @@
 
 func (s *Server) serve(c *serverConn) {
 	entry := ""
+	var answers errgroup.Group
+	answers.SetLimit(maxAnswers)
 	defer func() {
 		s.forget(entry, c)
 		_ = c.ws.CloseNow()
+		_ = answers.Wait() // a failed write has ended the connection
 	}()
 	for {
 		frame, err := s.read(c)
@@ -94,12 +102,19 @@
 			entry = frame.Exchange.Entry
 			s.remember(entry, c)
 		}
-		reply := replyToWire(s.handler(s.ctx, requestFromWire(frame)))
-		reply.ID = frame.ID
-		if c.write(s.ctx, reply) != nil {
-			return
-		}
+		// A relay may wait for the platform; an exchange behind it must not.
+		answers.Go(func() error { return s.answer(c, frame) })
+	}
+}
+
+func (s *Server) answer(c *serverConn, frame frameWire) error {
+	reply := replyToWire(s.handler(s.ctx, requestFromWire(frame)))
+	reply.ID = frame.ID
+	err := c.write(s.ctx, reply)
+	if err != nil {
+		_ = c.ws.CloseNow()
 	}
+	return err
 }
 
 func (s *Server) read(c *serverConn) (frameWire, error) {
