An ended watch revokes no permits

Cause: an entry watches groups of another owner while it cannot reach that one, and ends the watch ten seconds after the last demand. Ending it interrupts the probe that is under way. The interrupted probe counted as failed, so that the group was taken for incomplete, and its permits were revoked everywhere in the zone, with its streams aborted. Found by the trace of revocations: "last failure: context canceled", at the same moment in all three zones.

Ruled out: a member that failed (all probes of its owner succeeded), the idle timeout of connections (no probe but the interrupted ones failed).

--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -127,10 +127,13 @@
 }
 
 func (w *watch) probe(ctx context.Context, member grouping.Member) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	sentAt := time.Now()
-	health, err := w.engines.Probe(ctx, member.Address)
+	health, err := w.engines.Probe(probeCtx, member.Address)
+	if ctx.Err() != nil {
+		return // the watch ends; an interrupted probe says nothing of the member
+	}
 	w.mu.Lock()
 	if err != nil {
 		w.failure = errors.Wrap(err, member.Instance)
--- a/internal/fleet/focused_test.go
+++ b/internal/fleet/focused_test.go
@@ -284,6 +284,25 @@
 	})
 }
 
+// Entries that were cut off from each other watch each other's groups. When
+// they stop, the probes that this interrupts say nothing about the groups.
+func TestAnEndedWatchRevokesNoPermits(t *testing.T) {
+	plan := oneZone()
+	inFleet(t, plan, func(ctx context.Context, t *testing.T, f *fleet.Fleet) {
+		one, two := f.Entries()[0], f.Entries()[1]
+		for range 5 {
+			f.Network.Cut(one.Name, two.Name)
+			time.Sleep(3 * time.Second)
+			f.Network.Heal(one.Name, two.Name)
+			for healed := time.Now(); time.Since(healed) < 15*time.Second; time.Sleep(130 * time.Millisecond) {
+				for _, m := range f.Entries() {
+					require.Equal(t, plan.GroupsPerZone, openGroups(ctx, t, f, m), "%s after %s", m.Name, time.Since(healed))
+				}
+			}
+		}
+	})
+}
+
 func TestAZoneThatIsCutOffTakesOrders(t *testing.T) {
 	plan := fleet.DefaultPlan()
 	plan.LogLevel = "fatal"
