A cold server's rate is divided among few entries, by their present number

Now a share follows the number of entries, at most 0.3 entries for each request a second send to a cold server (those of its zone first, by rendezvous), and a cold server without a token left is passed over. Until the entries' rows were read twice, twelve entries are assumed: those that start together have not written their rows at the first read.

--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -47,15 +47,17 @@
 	view  *registry.View
 	table *routes.Table
 	// out are the zones that operators took out.
-	out     map[string]bool
-	entries int
+	out map[string]bool
+	// self is the entry's own name, entries are all that send to the servers.
+	self    string
+	entries []Entry
 	loads   map[registry.Lifetime]*load
 }
 
 // NewBalancer returns a Balancer of an entry in a zone.
 func NewBalancer(zone string) *Balancer {
 	return &Balancer{
-		zone: zone, view: &registry.View{}, entries: 1,
+		zone: zone, view: &registry.View{},
 		loads: make(map[registry.Lifetime]*load),
 	}
 }
@@ -87,13 +89,6 @@
 	b.out = zones
 }
 
-// SetEntries says how many entries may be sending to the same servers.
-func (b *Balancer) SetEntries(n int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.entries = max(n, 1)
-}
-
 // Elsewhere is what the zone's other entries have at a server.
 type Elsewhere struct {
 	InFlight int
@@ -171,9 +166,7 @@
 		return nil
 	}
 	l := b.load(best)
-	if !l.coldAllows(now, best, service.ColdRate/float64(b.entries)) {
-		return nil
-	}
+	l.tookCold(now)
 	if l.inFlight == 0 {
 		l.progress = now
 	}
@@ -217,7 +210,7 @@
 		slots = service.Engine.Slots
 	}
 	l := b.load(s)
-	if l.suspect(now) {
+	if l.suspect(now) || !b.coldAllows(now, s, l, service.ColdRate) {
 		return 0, false
 	}
 	slots = max(slots, 1)
--- a/internal/dispatch/balancer_test.go
+++ b/internal/dispatch/balancer_test.go
@@ -41,6 +41,15 @@
 	return b
 }
 
+// entries returns n entries, in two zones by turns.
+func entries(n int) []dispatch.Entry {
+	var list []dispatch.Entry
+	for i := range n {
+		list = append(list, dispatch.Entry{Name: fmt.Sprintf("e%d", i), Zone: []string{"a", "b"}[i%2]})
+	}
+	return list
+}
+
 var notes = dispatch.Demand{Service: "notes", Model: "large"}
 
 // take takes n places and returns how many went to each server.
@@ -138,7 +147,7 @@
 	cold := leader("s1", "a")
 	cold.ColdUntil = start.Add(3 * time.Second)
 	b := balancer(28, cold)
-	b.SetEntries(8)
+	b.SetEntries("e0", entries(8))
 	taken := 0
 	for i := range 300 {
 		at := start.Add(time.Duration(i) * 10 * time.Millisecond)
@@ -151,6 +160,72 @@
 	require.Positive(t, taken)
 }
 
+// More entries start while the server is cold: what it gets from this one
+// shrinks at once.
+func TestAColdServersShareFollowsTheNumberOfEntries(t *testing.T) {
+	cold := leader("s1", "a")
+	cold.ColdUntil = start.Add(3 * time.Second)
+	b := balancer(28, cold)
+	b.SetEntries("e0", entries(1))
+	taken := 0
+	for i := range 200 {
+		if i == 100 {
+			b.SetEntries("e0", entries(8))
+			taken = 0
+		}
+		at := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		if ticket := b.Take(at, notes); ticket != nil {
+			ticket.Done(at, dispatch.Served)
+			taken++
+		}
+	}
+	require.LessOrEqual(t, taken, 28/8+2)
+	require.Positive(t, taken)
+}
+
+// Many entries, each with one request ready at any time, would send far more in
+// one second than a cold server bears, if each had a small share of its own.
+func TestManyEntriesTogetherKeepToAColdServersRate(t *testing.T) {
+	const perSecond, entryCount = 28, 72
+	var balancers []*dispatch.Balancer
+	for _, e := range entries(entryCount) {
+		cold := leader("s1", "a")
+		cold.ColdUntil = start.Add(3 * time.Second)
+		b := balancer(perSecond, cold)
+		b.SetEntries(e.Name, entries(entryCount))
+		balancers = append(balancers, b)
+	}
+	var taken []time.Time
+	for at := start; at.Before(start.Add(3 * time.Second)); at = at.Add(10 * time.Millisecond) {
+		for _, b := range balancers {
+			if ticket := b.Take(at, notes); ticket != nil {
+				ticket.Done(at, dispatch.Served)
+				taken = append(taken, at)
+			}
+		}
+	}
+	for i, first := range taken {
+		n := 0
+		for _, at := range taken[i:] {
+			if at.Sub(first) < time.Second {
+				n++
+			}
+		}
+		require.LessOrEqual(t, float64(n), perSecond*1.5)
+	}
+	require.Greater(t, len(taken), 3*perSecond*3/4, "the rate is used")
+}
+
+// A cold server with nothing in flight has used its share; the request goes to
+// a warm one, although that is busier.
+func TestWarmServersTakeWhatAColdOneCannot(t *testing.T) {
+	cold := leader("s1", "a")
+	cold.ColdUntil = start.Add(3 * time.Second)
+	b := balancer(28, cold, leader("s2", "a"))
+	b.SetEntries("e0", entries(8))
+	require.Equal(t, map[string]int{"s1": 1, "s2": 3}, take(b, 4, start))
+}
+
 // One organisation floods the line: the others still get their turn.
 func TestALineServesOrganisationsInTurn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -4,8 +4,6 @@
 	"time"
 
 	"golang.org/x/time/rate"
-
-	"github.com/hibiscuspulley/hibiscuspulley/internal/registry"
 )
 
 const (
@@ -76,14 +74,3 @@
 }
 
 func (l *load) total() int { return l.inFlight + l.elsewhere }
-
-// coldAllows takes one request out of a cold server's rate.
-func (l *load) coldAllows(now time.Time, s *registry.Server, perEntry float64) bool {
-	if perEntry <= 0 || !s.Cold(now) {
-		return true
-	}
-	if l.cold == nil {
-		l.cold = rate.NewLimiter(rate.Limit(perEntry), max(int(perEntry/4), 1))
-	}
-	return l.cold.AllowN(now, 1)
-}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/hibiscuspulley/hibiscuspulley/internal/dispatch"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/event"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/membership"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/store"
@@ -16,9 +17,10 @@
 const (
 	// entryTable holds one session row for each entry.
 	entryTable = "entries"
-	// assumedEntries is how many entries share the bounds until the rows were
-	// read: more than the 6 to 8 of a small site.
-	assumedEntries = 12
+	// settledReads is how many reads of the rows must lie behind before they
+	// tell how many entries share the bounds: entries that start together have
+	// not written their rows at the first one.
+	settledReads = 2
 	// memberCallTimeout bounds one call to the store.
 	memberCallTimeout = 1500 * time.Millisecond
 )
@@ -37,6 +39,7 @@
 	timing  membership.Timing
 	rows    dependency
 	live    atomic.Int64
+	reads   int
 }
 
 func newMembers(g *Gateway) *members {
@@ -49,7 +52,7 @@
 			Incarnation: g.bootClock().Format(time.RFC3339Nano), Epoch: 1, State: membership.Live,
 		},
 	}
-	m.live.Store(assumedEntries)
+	m.live.Store(dispatch.AssumedEntries)
 	return m
 }
 
@@ -106,9 +109,17 @@
 			live = append(live, row)
 		}
 	}
-	m.live.Store(int64(max(len(live), 1)))
-	m.gateway.balancer.SetEntries(max(len(live), 1))
 	m.gateway.neighbours.update(live)
+	m.reads++
+	if m.reads < settledReads {
+		return
+	}
+	m.live.Store(int64(max(len(live), 1)))
+	entries := make([]dispatch.Entry, 0, len(live))
+	for _, row := range live {
+		entries = append(entries, dispatch.Entry{Name: row.Entry, Zone: row.Zone})
+	}
+	m.gateway.balancer.SetEntries(m.session.Entry, entries)
 }
 
 func decodeSession(row store.Row) (membership.Row, error) {
