Groups outlive restarts of all entries and a store that was away

Causes: - a steward decided before it had read a single server's entry. Whether the lease or the entries came first was chance.

Now a steward decides nothing on a view that was never read; a registry that got no answer for 3 s holds entries that vanish for 2 s; an inherited group waits as long for members that this entry has never seen.

Ruled out: lost records (the new stewards had read all of them), members that left (their state was unchanged at the stand-ins).

--- a/internal/formation/follow.go
+++ b/internal/formation/follow.go
@@ -41,6 +41,7 @@
 		place := standing(g, l, srv)
 		c := contact(l.ID)
 		switch {
+		case place == missing && g.awaits(l, now, v):
 		case place == missing:
 			d.Suspects = append(d.Suspects, l.ID)
 			return &loss{reason: "member " + l.ID + " has no entry"}
@@ -57,6 +58,12 @@
 	return found
 }
 
+// awaits reports whether the entry of an inherited group's member, which this
+// entry has never seen, may still come back.
+func (g *Group) awaits(l registry.Lifetime, now time.Time, v *registry.View) bool {
+	return g.Phase == Forming && g.mayOpen && v.Gone[l.ID].IsZero() && now.Sub(g.Since) < entryBack
+}
+
 func (s *Steward) form(g *Group, now time.Time, v *registry.View, e *routes.Engine, contact func(string) Contact, d *Decision) {
 	why := lost(g, now, v, contact, d)
 	if why == nil && now.Sub(g.Since) > formingTimeout {
--- a/internal/formation/steward.go
+++ b/internal/formation/steward.go
@@ -19,6 +19,9 @@
 	// direct questions unanswered before its lifetime counts as over. A leader
 	// that is only cut off from the store answers them.
 	leaderGoneAfter = 1500 * time.Millisecond
+	// entryBack is how long after the store's return entries that lapsed while
+	// it was away may take to come back (the platform's page on discovery).
+	entryBack = 2 * time.Second
 	// resendAfter is how long an order may go unanswered or without effect; an
 	// answer takes some milliseconds.
 	resendAfter = time.Second
@@ -182,6 +185,10 @@
 func (s *Steward) Step(now time.Time, v *registry.View, service string, e *routes.Engine, contact func(id string) Contact) Decision {
 	s.now = now
 	d := &Decision{}
+	if v.Version == 0 {
+		s.await(now)
+		return *d
+	}
 	for id, g := range s.groups {
 		if leader := v.Servers[g.leader().ID]; leader != nil && s.domains[id] == "" {
 			s.domains[id] = leader.Domain
@@ -204,6 +211,13 @@
 	return *d
 }
 
+// await lets groups go on as they are while no server's entry was read.
+func (s *Steward) await(now time.Time) {
+	for _, g := range s.groups {
+		g.Since = now
+	}
+}
+
 func (d *Decision) note(g *Group, reason string, now time.Time) {
 	d.Notes = append(d.Notes, Note{
 		Group: g.ID, Model: g.Model, Phase: g.Phase, Reason: reason, After: now.Sub(g.Since),
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,11 @@
 	Version int64
 	// AsOf is the time before the read that the view comes from.
 	AsOf time.Time
+
+	// heldUntil is until when entries that vanish are taken to have lapsed
+	// while the store was away; held are those that did.
+	heldUntil time.Time
+	held      map[string]bool
 }
 
 // Change is one server's new entry; a nil Server means that the entry is gone.
@@ -30,6 +36,16 @@
 // member holds up its group.
 const goneFor = time.Minute
 
+const (
+	// awayAfter is the time between two reads after which the store counts as
+	// having been away. The longest that the store may hold a read is 1.5 s,
+	// and reads follow each other within 1 s.
+	awayAfter = 3 * time.Second
+	// backWithin is how long after the store's return entries that lapsed
+	// meanwhile may take to come back (the platform's page on discovery).
+	backWithin = 2 * time.Second
+)
+
 // Registry holds the newest view. It is safe for concurrent use.
 type Registry struct {
 	mu   sync.Mutex
@@ -61,6 +77,10 @@
 		Gone:    make(map[string]time.Time, len(old.Gone)),
 		Former:  make(map[string]*Server, len(old.Former)),
 		Version: version, AsOf: asOf,
+		heldUntil: old.heldUntil, held: maps.Clone(old.held),
+	}
+	if !old.AsOf.IsZero() && asOf.Sub(old.AsOf) > awayAfter {
+		next.heldUntil = now.Add(backWithin)
 	}
 	for id, at := range old.Gone {
 		if now.Sub(at) < goneFor {
@@ -78,17 +98,23 @@
 	if whole {
 		for id := range old.Servers {
 			if !listed[id] {
-				next.remove(id, now)
+				next.vanish(id, now)
 			}
 		}
 	}
+	if !now.Before(next.heldUntil) {
+		for id := range next.held {
+			next.remove(id, now)
+		}
+		next.held = nil
+	}
 	r.view.Store(next)
 	return next
 }
 
 func (r *Registry) apply(v *View, c Change, now time.Time) {
 	if c.Server == nil {
-		v.remove(c.ID, now)
+		v.vanish(c.ID, now)
 		return
 	}
 	known := v.Servers[c.ID]
@@ -98,6 +124,7 @@
 	}
 	delete(v.Gone, c.ID)
 	delete(v.Former, c.ID)
+	delete(v.held, c.ID)
 	v.Servers[c.ID] = c.Server
 }
 
@@ -110,6 +137,21 @@
 	return s.Orders < known.Orders
 }
 
+// vanish takes an entry out, or holds it while it may still come back.
+func (v *View) vanish(id string, now time.Time) {
+	if !now.Before(v.heldUntil) {
+		v.remove(id, now)
+		return
+	}
+	if v.Servers[id] == nil {
+		return
+	}
+	if v.held == nil {
+		v.held = make(map[string]bool)
+	}
+	v.held[id] = true
+}
+
 func (v *View) remove(id string, now time.Time) {
 	known := v.Servers[id]
 	if known == nil {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -43,6 +43,45 @@
 	require.NotContains(t, v.Former, "b")
 }
 
+func server(id string) registry.Change {
+	return registry.Change{ID: id, Server: &registry.Server{ID: id}}
+}
+
+// Entries lapse while the store is away, and those of servers that live come
+// back within two seconds of its return.
+func TestEntriesThatLapsedWhileTheStoreWasAwayAreHeld(t *testing.T) {
+	for name, whole := range map[string]bool{"deleted": false, "not listed any more": true} {
+		t.Run(name, func(t *testing.T) {
+			r := registry.New(func(_, _ *registry.Server) {})
+			at := func(after time.Duration, whole bool, changes ...registry.Change) *registry.View {
+				return r.Apply(changes, whole, 1, now.Add(after), now.Add(after))
+			}
+			at(0, true, server("back"), server("gone"), server("late"))
+			lapsed := []registry.Change{{ID: "back"}, {ID: "gone"}}
+			if whole {
+				lapsed = []registry.Change{server("late")}
+			}
+			v := at(6*time.Second, whole, lapsed...)
+			require.Contains(t, v.Servers, "back")
+			require.Contains(t, v.Servers, "gone")
+			v = at(7*time.Second, false, server("back"), registry.Change{ID: "late"})
+			require.Contains(t, v.Servers, "late", "some entries lapse only after the return")
+			v = at(8*time.Second, false, server("late"))
+			require.Contains(t, v.Servers, "back")
+			require.Contains(t, v.Servers, "late")
+			require.NotContains(t, v.Servers, "gone")
+			require.Contains(t, v.Gone, "gone")
+		})
+	}
+}
+
+func TestAnEntryThatGoesWhileTheStoreIsThereIsGone(t *testing.T) {
+	r := registry.New(func(_, _ *registry.Server) {})
+	apply(r, true, server("s"))
+	v := r.Apply([]registry.Change{{ID: "s"}}, false, 2, now.Add(2*time.Second), now.Add(2*time.Second))
+	require.NotContains(t, v.Servers, "s")
+}
+
 func TestAViewNeverChanges(t *testing.T) {
 	r := registry.New(func(_, _ *registry.Server) {})
 	before := apply(r, false, registry.Change{ID: "a", Server: &registry.Server{ID: "a"}})
