A steward's failed write is tried again after 300 ms, not at once

Cause: a step that has groups to record kicked the next step, whether or not the write had succeeded. A store that refuses calls at once (503, reset) got writes and reads in a loop without a pause until the lease lapsed.

--- a/internal/gateway/lease.go
+++ b/internal/gateway/lease.go
@@ -112,6 +112,10 @@
 // renewIfDue renews the lease at its interval, or at once where groups are to
 // be recorded. It reports whether orders may be given.
 func (s *stewardship) renewIfDue(ctx context.Context, now time.Time, record []*formation.Group, forget []registry.GroupID) bool {
+	if now.Before(s.retryAt) {
+		s.unrecorded(record)
+		return true
+	}
 	if len(record) == 0 && len(forget) < forgetBatch && now.Sub(s.renewedAt) < stewardTiming().Renew {
 		return true
 	}
@@ -130,11 +134,13 @@
 			s.steward.Recorded(g.ID, sentAt)
 		}
 		s.steward.Forgotten(forget)
+		if len(record) > 0 {
+			s.kick() // their members get orders now
+		}
 		return true
 	}
-	for _, g := range record {
-		s.steward.Unrecorded(g.ID)
-	}
+	s.retryAt = now.Add(retryWrite)
+	s.unrecorded(record)
 	// The write may have taken effect; the row tells.
 	row, _, readErr := s.readRows(ctx, now)
 	if readErr == nil && !s.holder.Observe(row) {
@@ -144,6 +150,12 @@
 	return true
 }
 
+func (s *stewardship) unrecorded(record []*formation.Group) {
+	for _, g := range record {
+		s.steward.Unrecorded(g.ID)
+	}
+}
+
 func (s *stewardship) lose(reason string) {
 	s.steward = nil
 	event.StewardLost.Log(s.gateway.logger, logrus.Fields{"reason": reason})
--- a/internal/gateway/stewardship.go
+++ b/internal/gateway/stewardship.go
@@ -29,6 +29,9 @@
 	// forgetBatch is how many needless records are dropped ahead of the next
 	// renewal: a transaction holds 100 entries.
 	forgetBatch = 40
+	// retryWrite is how long after a failed write the next one follows: three
+	// tries fit into what is left of the lease's term.
+	retryWrite = 300 * time.Millisecond
 	// storeTimeout bounds one call to the store; a slow one takes 0.3 s.
 	storeTimeout = 1200 * time.Millisecond
 )
@@ -61,6 +64,8 @@
 	steward     *formation.Steward
 	nextContend time.Time
 	renewedAt   time.Time
+	// retryAt is when a write may follow one that failed.
+	retryAt time.Time
 }
 
 // orderOutcome is what became of an order that a steward gave.
@@ -158,9 +163,6 @@
 	for _, o := range d.Orders {
 		s.give(ctx, v, o)
 	}
-	if len(d.Record) > 0 {
-		s.kick()
-	}
 }
 
 // service returns the model service that the zone's groups serve.
