A leader that can't be reached is waited for until it must have broken

Cause: silence, or a refused connection, is no evidence that a lifetime has ended.

A group whose member has left stands still, and its leader is broken after bounds.broken (the platform's setting, 6 s). So the members of a leader that can't be reached are told to leave; what they answer, or their entries, dates the loss, and they join other groups after that time and 0.5 s. A leader whose members can't be reached either holds up nothing that could be used.

--- a/internal/formation/follow.go
+++ b/internal/formation/follow.go
@@ -49,7 +49,7 @@
 			return &loss{reason: "member " + l.ID + " started anew"}
 		case place == outside && g.wasReady[l]:
 			return &loss{reason: "member " + l.ID + " left the group"}
-		case c.Refused, !c.FailingSince.IsZero() && now.Sub(c.FailingSince) >= lostAfter:
+		case c.Refused, unanswered(c, now):
 			return &loss{reason: "member " + l.ID + " does not answer"}
 		case srv.Leaving:
 			found = &loss{reason: "member " + l.ID + " is leaving", graceful: true}
@@ -162,9 +162,9 @@
 		s.move(g, Over, now, "its leader has left", d)
 	case missing:
 		d.Suspects = append(d.Suspects, l.ID)
-		c := contact(l.ID)
-		if !c.FailingSince.IsZero() && now.Sub(c.FailingSince) >= leaderGoneAfter {
-			s.move(g, Over, now, "its leader is gone", d)
+		s.leaveLeader(g, now, v, d)
+		if s.leaderOver(g, now, contact) {
+			s.move(g, Over, now, "its leader is gone or broken", d)
 		}
 	case inGroup:
 		s.endLeader(g, now, srv, v, contact, d)
@@ -183,4 +183,37 @@
 		}
 	}
 	s.order(now, g.leader(), Order{Operation: Leave, Group: g.ID}, d)
+	if unanswered(contact(g.leader().ID), now) {
+		s.leaveLeader(g, now, v, d)
+	}
+}
+
+func unanswered(c Contact, now time.Time) bool {
+	return !c.FailingSince.IsZero() && now.Sub(c.FailingSince) >= lostAfter
+}
+
+// leaveLeader takes the other members out of a group whose leader can't be
+// reached, and notes since when one of them is known to be out: without all its
+// members the leader stands still, and breaks after a known time.
+func (s *Steward) leaveLeader(g *Group, now time.Time, v *registry.View, d *Decision) {
+	for _, l := range g.Members[1:] {
+		switch standing(g, l, v.Servers[l.ID]) {
+		case inGroup:
+			s.order(now, l, Order{Operation: Leave, Group: g.ID}, d)
+		case outside, ended:
+			g.lacksMember(now)
+		case missing:
+		}
+	}
+}
+
+// leaderOver reports whether a leader without an entry can't serve any more.
+// That it can't be reached does not show that it has ended: it may be cut off
+// from here only, and go on.
+func (s *Steward) leaderOver(g *Group, now time.Time, contact func(string) Contact) bool {
+	if len(g.Members) == 1 {
+		c := contact(g.leader().ID)
+		return !c.FailingSince.IsZero() && now.Sub(c.FailingSince) >= leaderGoneAfter
+	}
+	return !g.lacksSince.IsZero() && now.Sub(g.lacksSince) >= s.brokenAfter+brokenMargin
 }
--- a/internal/formation/group.go
+++ b/internal/formation/group.go
@@ -43,6 +43,9 @@
 	// mayOpen says that an open may have been ordered, by this steward or by an
 	// earlier one: the leader can open until it has left.
 	mayOpen bool
+	// lacksSince is when a member other than the leader was first known to be
+	// out of the group for good; zero if none is.
+	lacksSince time.Time
 	// Reason says why the group ends.
 	Reason string
 }
@@ -63,6 +66,12 @@
 	return g
 }
 
+func (g *Group) lacksMember(now time.Time) {
+	if g.lacksSince.IsZero() {
+		g.lacksSince = now
+	}
+}
+
 func (g *Group) leader() registry.Lifetime { return g.Members[0] }
 
 func (g *Group) memberIDs() []string {
--- a/internal/formation/property_test.go
+++ b/internal/formation/property_test.go
@@ -42,7 +42,7 @@
 func (w *world) heal() {
 	w.recording = true
 	for _, id := range w.hostIDs() {
-		w.hosts[id].cut = false
+		w.hosts[id].cut, w.hosts[id].dark = false, false
 		if !w.hosts[id].Alive {
 			w.restart(id)
 		}
@@ -125,6 +125,26 @@
 	require.Empty(t, w.servers.Broken)
 }
 
+// A leader is cut off from the store, the steward and all entries, and goes on.
+// Nothing shows that it lives. Its members leave; they join another group only
+// once the leader must have broken.
+func TestMembersOfALeaderThatCannotBeReachedWaitUntilItIsBroken(t *testing.T) {
+	w := newWorld(20)
+	w.run(10*time.Second, onTime)
+	ids := sortedIDs(w.records)
+	g, err := formation.DecodeGroup(w.records[ids[0]], w.now)
+	require.NoError(t, err)
+	w.hosts[g.Members[0].ID].dark = true
+	w.run(20*time.Second, onTime)
+	require.Empty(t, w.servers.Broken)
+	require.NotContains(t, w.records, ids[0])
+	for _, l := range g.Members[1:] {
+		m := w.hosts[l.ID].Member
+		require.False(t, m != nil && m.Group == g.ID, "%s has left", l.ID)
+	}
+	require.Equal(t, 2, w.openGroups("large"))
+}
+
 // Two records share a member after a crash between the store's write and the
 // next one: the older group never serves again.
 // Found by a day with a zone cut, after which all entries lost power.
@@ -169,7 +189,7 @@
 			ids := w.hostIDs()
 			id := rapid.SampledFrom(ids).Draw(t, "host")
 			h := w.hosts[id]
-			switch rapid.IntRange(0, 11).Draw(t, "event") {
+			switch rapid.IntRange(0, 12).Draw(t, "event") {
 			case 0, 1:
 				w.crash(id)
 			case 2:
@@ -187,6 +207,8 @@
 				late = 1 - late
 			case 7:
 				w.recording = !w.recording
+			case 8:
+				h.dark = !h.dark
 			default:
 			}
 			w.run(time.Duration(rapid.IntRange(1, 15).Draw(t, "ticks"))*tick, lateBy)
--- a/internal/formation/steward.go
+++ b/internal/formation/steward.go
@@ -15,8 +15,11 @@
 	// lostAfter is how long a member must leave direct questions unanswered
 	// before its group is given up; two questions fail in that time.
 	lostAfter = 500 * time.Millisecond
-	// leaderGoneAfter is how long a leader must be without an entry and leave
-	// direct questions unanswered before its lifetime counts as over. A leader
+	// brokenMargin is added to the time after which a leader without all its
+	// members is broken: it may count from when it notices.
+	brokenMargin = 500 * time.Millisecond
+	// leaderGoneAfter is how long the only member of a group must be without an
+	// entry and leave direct questions unanswered before it counts as gone. One
 	// that is only cut off from the store answers them.
 	leaderGoneAfter = 1500 * time.Millisecond
 	// entryBack is how long after the store's return entries that lapsed while
@@ -47,13 +50,15 @@
 
 // Steward decides for one zone. It is not safe for concurrent use.
 type Steward struct {
-	zone   string
-	zones  int
-	epoch  int64
-	number int64
-	groups map[registry.GroupID]*Group
-	sent   map[orderKey]sentOrder
-	loads  *loadLimit
+	zone  string
+	zones int
+	// brokenAfter is how long a leader without all its members may serve again.
+	brokenAfter time.Duration
+	epoch       int64
+	number      int64
+	groups      map[registry.GroupID]*Group
+	sent        map[orderKey]sentOrder
+	loads       *loadLimit
 	// domains holds the domain of each group that was planned or inherited.
 	domains map[registry.GroupID]string
 	// now is the time of the current step.
@@ -85,10 +90,13 @@
 // NewSteward returns the Steward of a zone, one of all zones. The term is
 // higher than that of every earlier steward of the zone; recorded are the
 // groups that the store holds.
-func NewSteward(zone string, zones []string, term uint64, recorded []*Group) *Steward {
+//
+// brokenAfter is how long a leader that has lost a member stands still before it
+// is broken.
+func NewSteward(zone string, zones []string, term uint64, brokenAfter time.Duration, recorded []*Group) *Steward {
 	rank := max(slices.Index(slices.Sorted(slices.Values(zones)), zone), 0)
 	s := &Steward{
-		zone: zone, zones: max(len(zones), 1), epoch: int64(term) * epochStep,
+		zone: zone, zones: max(len(zones), 1), brokenAfter: brokenAfter, epoch: int64(term) * epochStep,
 		groups: make(map[registry.GroupID]*Group), sent: make(map[orderKey]sentOrder), domains: make(map[registry.GroupID]string),
 		loads: newLoadLimit(rank), known: make(map[registry.Lifetime]bool),
 	}
@@ -176,6 +184,10 @@
 func (s *Steward) Outcome(o Order, born int64, outcome Outcome, now time.Time) {
 	key := orderKey{registry.Lifetime{ID: o.Server, Born: born}, o.Operation, o.Group, o.Model}
 	s.sent[key] = sentOrder{at: now, outcome: outcome}
+	g := s.groups[o.Group]
+	if g != nil && o.Operation == Leave && key.server != g.leader() && (outcome == Begun || outcome == Done) {
+		g.lacksMember(now)
+	}
 }
 
 // Lead says whether the fleet still waits for its first request.
--- a/internal/formation/world_test.go
+++ b/internal/formation/world_test.go
@@ -15,12 +15,16 @@
 	zone    = "a"
 	service = "notes"
 	tick    = 100 * time.Millisecond
+
+	// brokenAfter is how long a leader without all its members stands still.
+	brokenAfter = 6 * time.Second
 )
 
 // host is what the world knows of a server beyond the stand-in.
 type host struct {
 	*standin.Host
 	cut      bool // from the store; requests still reach it
+	dark     bool // from everything, and goes on
 	listed   bool // has an entry in the registry
 	silentAt time.Time
 	// backAt is when it writes its entry again.
@@ -59,7 +63,7 @@
 	w := &world{
 		now: time.Unix(1000, 0), hosts: map[string]*host{},
 		servers: standin.NewHosts(standin.HostTiming{
-			Load: 3 * time.Second, Warm: time.Second, Reconnect: 200 * time.Millisecond, Open: 300 * time.Millisecond,
+			Load: 3 * time.Second, Warm: time.Second, Reconnect: 200 * time.Millisecond, Open: 300 * time.Millisecond, Broken: brokenAfter,
 		}),
 		records: map[registry.GroupID][]byte{}, failing: map[string]time.Time{}, recording: true, leaderJoins: map[registry.GroupID]int{},
 		engine: &routes.Engine{
@@ -96,7 +100,7 @@
 		}
 		recorded = append(recorded, g)
 	}
-	w.steward = formation.NewSteward(zone, []string{zone}, w.term, recorded)
+	w.steward = formation.NewSteward(zone, []string{zone}, w.term, brokenAfter, recorded)
 }
 
 func sortedIDs(records map[registry.GroupID][]byte) []registry.GroupID {
@@ -127,7 +131,7 @@
 		if w.now.Before(h.backAt) {
 			continue
 		}
-		silent := !h.Alive || h.cut
+		silent := !h.Alive || h.cut || h.dark
 		if silent && h.silentAt.IsZero() {
 			h.silentAt = w.now
 		}
@@ -153,7 +157,7 @@
 // contact answers direct questions for the steward.
 func (w *world) contact(id string) formation.Contact {
 	h := w.hosts[id]
-	if h == nil || h.Alive {
+	if h == nil || (h.Alive && !h.dark) {
 		delete(w.failing, id)
 		return formation.Contact{}
 	}
@@ -182,6 +186,9 @@
 func (w *world) apply(o formation.Order) formation.Outcome {
 	h := w.hosts[o.Server]
 	w.tell("order %s %s of %s at %s (alive %v)", o.Operation, o.Group.Name, o.Model, o.Server, h != nil && h.Alive)
+	if h == nil || h.dark {
+		return formation.Unknown
+	}
 	return w.servers.Apply(w.now, o)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,7 @@
 type bounds struct {
 	Revocation time.Duration
 	Grace      time.Duration
+	Broken     time.Duration
 	Repeats    retry.Bound
 }
 
@@ -112,7 +113,7 @@
 	}
 	g.settings.Gateway = s
 	g.settings.Bounds = bounds{
-		Revocation: s.Bounds.Revocation, Grace: s.Bounds.Grace,
+		Revocation: s.Bounds.Revocation, Grace: s.Bounds.Grace, Broken: s.Bounds.Broken,
 		Repeats: retry.Bound{
 			Span: s.Bounds.RepeatSpan, Ratio: s.Bounds.RepeatRatio * repeatMargin, Slack: s.Bounds.RepeatSlack * repeatMargin,
 		},
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -45,6 +45,9 @@
 	Revocation time.Duration
 	// Grace is the time between SIGTERM and the end of the process.
 	Grace time.Duration
+	// Broken is how long a replica group that has lost a member stands still
+	// before its leader is broken.
+	Broken time.Duration
 	// RepeatRatio and RepeatSlack bound a service's repeats in RepeatSpan.
 	RepeatSpan  time.Duration
 	RepeatRatio float64
@@ -55,6 +58,7 @@
 const (
 	defaultRevocation  = 5 * time.Second
 	defaultGrace       = 8 * time.Second
+	defaultBroken      = 6 * time.Second
 	defaultRepeatSpan  = 10 * time.Second
 	defaultRepeatRatio = 0.1
 	defaultRepeatSlack = 10
@@ -101,6 +105,7 @@
 	b := GatewayBounds{
 		Revocation:  o.duration("revocation", defaultRevocation),
 		Grace:       o.duration("grace", defaultGrace),
+		Broken:      o.duration("broken", defaultBroken),
 		RepeatSpan:  o.duration("repeat-span", defaultRepeatSpan),
 		RepeatRatio: o.number("repeat-ratio", defaultRepeatRatio),
 		RepeatSlack: o.number("repeat-slack", defaultRepeatSlack),
--- a/internal/site/machine_test.go
+++ b/internal/site/machine_test.go
@@ -28,6 +28,7 @@
 const (
 	revocation  = 5 * time.Second
 	grace       = 8 * time.Second
+	brokenAfter = 6 * time.Second
 	repeatSpan  = 10 * time.Second
 	repeatRatio = 0.2
 	repeatSlack = 20
@@ -94,7 +95,7 @@
 		CallerAddress: m.address(), ReadinessAddress: m.host + ":81", ReadinessPath: "/ready",
 		PeerAddress: m.host + ":82", PeerKey: "between entries",
 		Bounds: settings.GatewayBounds{
-			Revocation: revocation, Grace: grace, RepeatSpan: repeatSpan, RepeatRatio: repeatRatio, RepeatSlack: repeatSlack,
+			Revocation: revocation, Grace: grace, Broken: brokenAfter, RepeatSpan: repeatSpan, RepeatRatio: repeatRatio, RepeatSlack: repeatSlack,
 		},
 	}, s.platform(p), logger,
 		gateway.WithListen(p.listen), gateway.WithDial(p.dial), gateway.WithBootClock(m.bootClock))
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -17,6 +17,9 @@
 	Reconnect time.Duration
 	// Open is the time from the order to the first request.
 	Open time.Duration
+	// Broken is how long a leader that has lost a member stands still before
+	// it is broken.
+	Broken time.Duration
 }
 
 // HostMembership is what a Host believes of its group.
@@ -28,6 +31,8 @@
 	// ReadyAt is when a join is carried out.
 	ReadyAt time.Time
 	openAt  time.Time
+	// stoodSince is when the leader lost a member; zero while it has them all.
+	stoodSince time.Time
 }
 
 // Opening reports whether an order to open is being carried out.
--- a/internal/standin/hosts.go
+++ b/internal/standin/hosts.go
@@ -66,6 +66,20 @@
 		if opened {
 			hs.checkOpen(h.Member)
 		}
+		if h.Alive && h.Member != nil && h.Member.State == registry.Open {
+			hs.stand(h.Member, now)
+		}
+	}
+}
+
+// stand notes that a leader has lost a member, and breaks it in time. What has
+// left once counts as lost also when it joins again.
+func (hs *Hosts) stand(m *HostMembership, now time.Time) {
+	if m.stoodSince.IsZero() && !hs.Whole(m) {
+		m.stoodSince = now
+	}
+	if !m.stoodSince.IsZero() && now.Sub(m.stoodSince) >= hs.Timing.Broken {
+		m.State = registry.Broken
 	}
 }
 
