--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -63,6 +63,26 @@
 	})
 }
 
+// One group after the other stands still: the request begins at no more
+// servers than its route allows, though another one has room.
+func TestAStreamBeginsAtNoMoreServersThanItsRouteAllows(t *testing.T) {
+	silent := [3]int{2, 4, 6}
+	ids := []string{"g1", "g2", "g3"}
+	run(t, func(s *site) {
+		for i, id := range ids {
+			s.add(id, "notes", "large", events(9, &silent[i]))
+		}
+	}, func(s *site) {
+		a := s.call(s.t.Context(), http.MethodPost, "/notes/1", "1", nil)
+		require.Error(t, a.err)
+		began := 0
+		for _, id := range ids {
+			began += s.servers[id].requests()
+		}
+		require.Equal(t, s.config.Routes[0].MaxAttempts, began)
+	})
+}
+
 // The leader crashes in the middle of an event.
 func TestATornStreamGoesOnElsewhere(t *testing.T) {
 	torn := func(w http.ResponseWriter, r *http.Request) {
--- a/internal/site/callers_test.go
+++ b/internal/site/callers_test.go
@@ -18,6 +18,9 @@
 	// the next event of a stream.
 	patience    = 6 * time.Second
 	gapPatience = 2 * time.Second
+	// faithful is the share of requests on connections that callers keep,
+	// whatever the entry says of its readiness.
+	faithful = 0.2
 )
 
 // callers send requests at a steady rate from every zone.
@@ -68,15 +71,16 @@
 }
 
 // pick returns a machine as a balancer does: one of the zone that is ready,
-// else any that is.
+// else any that is. Some callers stay with one that is not.
 func (c *callers) pick(zone string) *machine {
 	var here, elsewhere []*machine
+	keeps := c.site.chance(faithful)
 	c.site.mu.Lock()
 	machines := c.site.machines
 	c.site.mu.Unlock()
 	for _, m := range machines {
 		switch {
-		case !m.ready():
+		case !m.ready() && (!keeps || m.current() == nil):
 		case m.zone == zone:
 			here = append(here, m)
 		default:
--- a/internal/site/machine_test.go
+++ b/internal/site/machine_test.go
@@ -31,7 +31,7 @@
 	brokenAfter = 6 * time.Second
 	repeatSpan  = 10 * time.Second
 	repeatRatio = 0.2
-	repeatSlack = 20
+	repeatSlack = 5
 	maxAttempts = 2
 	leaseTable  = "stewards"
 )
--- a/internal/site/troubles_test.go
+++ b/internal/site/troubles_test.go
@@ -223,6 +223,7 @@
 			s.mu.Unlock()
 			if calm {
 				s.witness.zoneOut(struckZone, true)
+				time.Sleep(outTime) // requests after the bound are looked at
 			}
 			return func() {
 				s.witness.zoneOut(struckZone, false)
@@ -249,6 +250,7 @@
 		}},
 		{"keys revoked", func(s *site) func() {
 			s.setSouthernKeys()
+			time.Sleep(revocation)
 			return func() { s.setSouthernKeys("k-south") }
 		}},
 		{"callers leave", func(s *site) func() {
@@ -285,6 +287,7 @@
 		{"keys revoked while an entry can't read", func(s *site) func() {
 			s.setStore(standin.StoreFaults{Refused: map[string]bool{"a-1": true, "b-1": true}})
 			s.setSouthernKeys()
+			time.Sleep(revocation) // requests after the bound are looked at
 			return func() {
 				s.setStore(standin.StoreFaults{})
 				s.setSouthernKeys("k-south")
@@ -438,8 +441,8 @@
 		serverTrouble("servers slow", 0.15, serverFaults{slow: 4}),
 		serverTrouble("servers fail with good reports", 0.15, serverFaults{grey: 0.4}),
 		serverTrouble("servers cut from the store", 0.2, serverFaults{cut: true}),
-		serverTrouble("answers lost", 0.5, serverFaults{loseAnswer: 0.05}),
-		serverTrouble("answers garbled", 0.5, serverFaults{garble: 0.05}),
+		serverTrouble("answers lost", 1, serverFaults{loseAnswer: 0.8}),
+		serverTrouble("answers garbled", 0.5, serverFaults{garble: 0.5}),
 		{"zone returns cold", func(s *site) func() {
 			for _, id := range s.inStruckZone() {
 				s.crash(id, true)
