Direct questions read a server's address before they leave the lock

The race detector found it in internal/site: the goroutine that asks a suspected server read the address from the shared state, while the steward's next step wrote it.

--- a/internal/gateway/contacts.go
+++ b/internal/gateway/contacts.go
@@ -84,7 +84,8 @@
 		}
 		s.asking, s.askedAt = true, now
 		c.gateway.metrics.reports.Add(1)
-		c.gateway.loop(func() { c.askOne(ctx, id, s.address) })
+		address := s.address // the lock is not held when the question is asked
+		c.gateway.loop(func() { c.askOne(ctx, id, address) })
 	}
 }
 
--- a/internal/site/callers_test.go
+++ b/internal/site/callers_test.go
@@ -75,10 +75,7 @@
 func (c *callers) pick(zone string) *machine {
 	var here, elsewhere []*machine
 	keeps := c.site.chance(faithful)
-	c.site.mu.Lock()
-	machines := c.site.machines
-	c.site.mu.Unlock()
-	for _, m := range machines {
+	for _, m := range c.site.allMachines() {
 		switch {
 		case !m.ready() && (!keeps || m.current() == nil):
 		case m.zone == zone:
--- a/internal/site/machine_test.go
+++ b/internal/site/machine_test.go
@@ -8,9 +8,11 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -51,7 +53,7 @@
 	// the records of groups, before it learns that.
 	afterLease func()
 	// jumped is how far the clock that counts suspended time went ahead.
-	jumped time.Duration
+	jumped atomic.Int64
 }
 
 // process is one life of an entry.
@@ -108,7 +110,7 @@
 }
 
 func (m *machine) bootClock() time.Time {
-	return time.Now().Add(m.jumped)
+	return time.Now().Add(time.Duration(m.jumped.Load()))
 }
 
 func (m *machine) current() *process {
@@ -434,14 +436,21 @@
 	return json.Unmarshal(body, answer)
 }
 
+// allMachines returns the machines of this moment.
+func (s *site) allMachines() []*machine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.machines)
+}
+
 // stewardOf returns the machine that holds a zone's lease.
 func (s *site) stewardOf(zone string) *machine {
-	rows, err := s.store.Client("test").Read(s.t.Context(), leaseTable, zone, "holder")
-	if err != nil || len(rows.Rows) == 0 {
+	lease, found := s.store.Get(store.RowKey{Table: leaseTable, Part: zone, Key: "holder"})
+	if !found {
 		return nil
 	}
-	for _, m := range s.machines {
-		if strings.Contains(string(rows.Rows[0].Value), `"`+m.name+`"`) && m.zone == zone {
+	for _, m := range s.allMachines() {
+		if strings.Contains(string(lease.Value), `"`+m.name+`"`) && m.zone == zone {
 			return m
 		}
 	}
--- a/internal/site/pairs_test.go
+++ b/internal/site/pairs_test.go
@@ -31,6 +31,7 @@
 // playTroubles strikes a site with troubles, one second apart, and holds it to
 // what must always be.
 func playTroubles(t *testing.T, seed uint64, calm bool, list ...trouble) {
+	t.Parallel() // each test has a virtual time of its own
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, seed)
 		defer s.stop()
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -192,7 +192,7 @@
 	}
 	close(s.stopped)
 	s.callers.wait()
-	for _, m := range s.machines {
+	for _, m := range s.allMachines() {
 		s.end(m)
 	}
 	s.wg.Wait()
--- a/internal/site/troubles_test.go
+++ b/internal/site/troubles_test.go
@@ -138,13 +138,13 @@
 
 // entriesDown kills all entries and starts them at the end.
 func (s *site) entriesDown(power bool) {
-	for _, m := range s.machines {
+	for _, m := range s.allMachines() {
 		s.kill(m, power)
 	}
 }
 
 func (s *site) entriesUp() {
-	for _, m := range s.machines {
+	for _, m := range s.allMachines() {
 		if m.current() == nil {
 			s.start(m)
 		}
@@ -209,7 +209,7 @@
 		}},
 		{"entries stop by signal and start again", func(s *site) func() {
 			s.wg.Go(func() {
-				for _, m := range s.machines {
+				for _, m := range s.allMachines() {
 					s.end(m)
 					s.start(m)
 				}
@@ -355,7 +355,7 @@
 			}
 		}},
 		{"zone lost", func(s *site) func() {
-			for _, m := range s.machines {
+			for _, m := range s.allMachines() {
 				if m.zone == struckZone {
 					s.kill(m, true)
 				}
@@ -371,7 +371,7 @@
 			}
 		}},
 		{"clock jump", func(s *site) func() {
-			for i, m := range s.machines {
+			for i, m := range s.allMachines() {
 				if i%2 == 0 {
 					m.jump(6 * time.Second)
 				}
@@ -380,11 +380,11 @@
 		}},
 		{"silent connections", func(s *site) func() {
 			s.mu.Lock()
-			defer s.mu.Unlock()
 			for _, h := range s.hosts.ByID {
 				s.network.Silence(h.Address)
 			}
-			for _, m := range s.machines {
+			s.mu.Unlock()
+			for _, m := range s.allMachines() {
 				s.network.Silence(m.host + ":82")
 			}
 			return nothing
@@ -431,7 +431,10 @@
 			ids := s.hosts.IDs()
 			s.mu.Unlock()
 			for _, id := range ids {
-				if s.hosts.ByID[id].Domain == "a-0" {
+				s.mu.Lock()
+				struck := s.hosts.ByID[id].Domain == "a-0"
+				s.mu.Unlock()
+				if struck {
 					s.crash(id, true)
 				}
 			}
@@ -479,9 +482,7 @@
 }
 
 func (m *machine) jump(d time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.jumped += d
+	m.jumped.Add(int64(d))
 }
 
 func (s *site) setOrders(f orderFaults) {
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -101,6 +101,14 @@
 	s.write(store.Row{RowKey: store.RowKey{Table: table, Key: key}, Value: value, Version: s.version})
 }
 
+// Get returns a row, whatever the faults say.
+func (s *Store) Get(key store.RowKey) (store.Row, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	row, found := s.rows[key]
+	return row, found
+}
+
 // Delete drops a row.
 func (s *Store) Delete(table, key string) {
 	s.mu.Lock()
