A group with an unreachable leader also waits for a late open

Orders may be carried out up to 12 s late. A leader that nobody reaches could open after its members had left and been given to other groups; a member of it that joins another group then breaks the promise.

A late order reaches its server in the property's world also when that is in the dark.

--- a/internal/formation/follow.go
+++ b/internal/formation/follow.go
@@ -102,7 +102,7 @@
 }
 
 func (s *Steward) open(g *Group, now time.Time, d *Decision) {
-	g.mayOpen = true
+	g.mayOpen, g.openedAt = true, now
 	s.order(now, g.leader(), Order{Operation: Open, Group: g.ID}, d)
 }
 
@@ -215,5 +215,13 @@
 		c := contact(g.leader().ID)
 		return !c.FailingSince.IsZero() && now.Sub(c.FailingSince) >= leaderGoneAfter
 	}
-	return !g.lacksSince.IsZero() && now.Sub(g.lacksSince) >= s.brokenAfter+brokenMargin
+	if g.lacksSince.IsZero() {
+		return false
+	}
+	// A leader that opens late stands still from then on.
+	stands := g.lacksSince
+	if latest := g.openedAt.Add(lateOrder); latest.After(stands) {
+		stands = latest
+	}
+	return now.Sub(stands) >= s.brokenAfter+brokenMargin
 }
--- a/internal/formation/group.go
+++ b/internal/formation/group.go
@@ -46,6 +46,9 @@
 	// lacksSince is when a member other than the leader was first known to be
 	// out of the group for good; zero if none is.
 	lacksSince time.Time
+	// openedAt is when an open was last ordered, or may have been by an earlier
+	// steward.
+	openedAt time.Time
 	// Reason says why the group ends.
 	Reason string
 }
@@ -62,7 +65,7 @@
 // ordered to open.
 func Inherited(id registry.GroupID, model string, members []registry.Lifetime, now time.Time) *Group {
 	g := NewGroup(id, model, members, now)
-	g.Phase, g.mayOpen = Forming, true
+	g.Phase, g.mayOpen, g.openedAt = Forming, true, now
 	return g
 }
 
--- a/internal/formation/steward.go
+++ b/internal/formation/steward.go
@@ -18,6 +18,9 @@
 	// brokenMargin is added to the time after which a leader without all its
 	// members is broken: it may count from when it notices.
 	brokenMargin = 500 * time.Millisecond
+	// lateOrder is how long an order without an answer may take until it is
+	// carried out (the platform's page on disturbances).
+	lateOrder = 12 * time.Second
 	// leaderGoneAfter is how long the only member of a group must be without an
 	// entry and leave direct questions unanswered before it counts as gone. One
 	// that is only cut off from the store answers them.
--- a/internal/formation/world_test.go
+++ b/internal/formation/world_test.go
@@ -177,7 +177,8 @@
 			w.late = append(w.late, l)
 			continue
 		}
-		w.apply(l.order)
+		w.tell("late order %s %s at %s", l.order.Operation, l.order.Group.Name, l.order.Server)
+		w.servers.Apply(w.now, l.order) // it had arrived before its server got out of reach
 	}
 	w.servers.Move(w.now)
 }
