--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -191,6 +191,7 @@
 		return
 	}
 	close(s.stopped)
+	time.Sleep(2 * callEvery) // no caller sends any more
 	s.callers.wait()
 	for _, m := range s.allMachines() {
 		s.end(m)
