Log what broken attempts have in common and whether their server crashed

The logs could not tell a shared cause from retries alone. Each attempt of a stream that breaks off is now logged (504) with the shared parts of its prompt, the events received and the verdict of one probe per incarnation. The counter server-crashes counts the crashes.

No decision about requests changes.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -52,6 +52,7 @@
 	GroupPhaseChanged        = Event{412, logrus.InfoLevel, "replica group phase changed"}
 	ServerUnresponsive       = Event{413, logrus.WarnLevel, "backend server does not respond to probes"}
 	ServerResponsive         = Event{414, logrus.InfoLevel, "backend server responds to probes again"}
+	AttemptBroken            = Event{504, logrus.WarnLevel, "attempt of a streamed response broke off; its server was probed"}
 	RequestServed            = Event{503, logrus.InfoLevel, "request served"}
 	EvacuatedZonesChanged    = Event{607, logrus.InfoLevel, "set of evacuated zones changed"}
 	ShutdownTimedOut         = Event{105, logrus.WarnLevel, "requests in flight were cut off at the shutdown timeout"}
@@ -65,7 +66,7 @@
 		PeerConnected, PeerLost, PeerRejected,
 		GroupFormed, GroupTakenOver, GroupComplete, GroupIncomplete, GroupRepaired,
 		GroupReformed, GroupReleased, OrderFailed, GroupSuperseded, QuarantineEnded, GroupHandedOver,
-		StreamResumed, WrongEventRejected, RequestFailed,
+		StreamResumed, WrongEventRejected, RequestFailed, AttemptBroken,
 		ConfigApplied, ConfigRejected, ConfigFromPeer, ConfigSnapshot, SnapshotFailed,
 		ProvisionalOrderAccepted, ProvisionalOrderRecorded,
 		LogLinesDropped, SettingsReloaded, SettingsRejected, ServerRecordChanged, ServerRecordStale, ControllerLeaseAcquired, ControllerLeaseLost,
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -74,6 +74,15 @@
 	return float64(c.info.PromptTokens)/10 + float64(responseTokens) + 1
 }
 
+// sharedParts returns the parts of the prompt that other requests may have too:
+// all but the last, which is the request's own.
+func (c *call) sharedParts() []string {
+	if len(c.info.PromptParts) == 0 {
+		return nil
+	}
+	return c.info.PromptParts[:len(c.info.PromptParts)-1]
+}
+
 // send forwards the request to the server of the reservation and reads the
 // header of its response. If newConn is set, it opens a new connection. It skips
 // late responses to other requests: those with another request ID, and signed
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,6 +98,7 @@
 	pool        *backend.Pool
 	control     *controlLoop
 	members     *members
+	crashes     *crashDetector
 	// peers exchanges in-flight loads with the other entries.
 	peers    *peers
 	stopping atomic.Bool
@@ -153,6 +154,7 @@
 	g.cancel = cancel
 	g.members = newMembers(g)
 	g.peers = newPeers(g)
+	g.crashes = newCrashDetector(g)
 	g.control = newControlLoop(g)
 	if err := g.listenAll(); err != nil {
 		cancel()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -105,6 +105,23 @@
 
 // There is no other server to resume on: the stream must end with an error
 // instead of looking complete.
+// A server that crashes and one that only closes a connection must look
+// different in the log.
+func TestBrokenAttemptsAreLoggedWithTheStateOfTheirServer(t *testing.T) {
+	run(t, func(s *site) {
+		s.add("g1", "notes", "large", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+		s.add("g2", "notes", "large", func(http.ResponseWriter, *http.Request) {
+			s.servers["g2"].stop()
+			panic(http.ErrAbortHandler)
+		})
+	}, func(s *site) {
+		s.call(s.t.Context(), http.MethodPost, "/notes/1", "r1", map[string]string{"Parts": "shared,own"})
+		time.Sleep(time.Second)
+		require.Regexp(s.t, `"prompt-parts":\["shared"\],"request":"r1","server":"g1".*"verdict":"running"`, s.logs.String())
+		require.Regexp(s.t, `"prompt-parts":\["shared"\],"request":"r1","server":"g2".*"verdict":"crashed"`, s.logs.String())
+	})
+}
+
 func TestAStreamThatCannotResumeEndsWithAnError(t *testing.T) {
 	stallAfter := 3
 	run(t, func(s *site) { s.add("g1", "notes", "large", events(9, &stallAfter)) }, func(s *site) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -15,6 +15,8 @@
 	budgetEmpty expvar.Int
 	orders      expvar.Int
 	probes      expvar.Int
+	// crashes counts the server incarnations that were found to have crashed.
+	crashes expvar.Int
 
 	// waited is the time that each attempt spent in the queue, whether or not it
 	// got a reservation. first is the time to the first event of a stream, or to
@@ -37,6 +39,7 @@
 	m.vars.Set("served-ms", &m.served)
 	m.vars.Set("orders", &m.orders)
 	m.vars.Set("reports", &m.probes)
+	m.vars.Set("server-crashes", &m.crashes)
 	return m
 }
 
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -20,6 +20,9 @@
 	// Timeout is how long the caller waits, or 0 if the request doesn't state it.
 	Timeout time.Duration
 	Model   string
+	// PromptParts are the IDs of the parts of the prompt, in order. Requests share
+	// parts, except the last one.
+	PromptParts []string
 	// PromptTokens is the length of the prompt, MaxTokens the limit for the
 	// response, and HintTokens the caller's estimate of its length.
 	PromptTokens int
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -149,13 +149,19 @@
 		SendOrder: func(context.Context, string, formation.Order) (formation.Outcome, error) {
 			return formation.Begun, nil
 		},
-		FetchServer: func(_ context.Context, server registry.Server) (registry.Server, error) { return server, nil },
+		FetchServer: func(ctx context.Context, server registry.Server) (registry.Server, error) {
+			conn, err := s.network.Dialer("a")(ctx, "tcp", server.Address)
+			if err != nil {
+				return server, err
+			}
+			return server, conn.Close()
+		},
 		Protocol: gateway.Protocol{
 			DecodeRequest: func(h http.Header) gateway.RequestInfo {
 				ms, _ := strconv.Atoi(h.Get("Wait-Ms")) // absent means no timeout
 				return gateway.RequestInfo{
 					ID: h.Get("Id"), Key: h.Get("Key"), Timeout: time.Duration(ms) * time.Millisecond,
-					Model: h.Get("Weights"), LastEventID: h.Get("After"),
+					Model: h.Get("Weights"), LastEventID: h.Get("After"), PromptParts: promptParts(h),
 				}
 			},
 			Forward: func(h http.Header, f gateway.ForwardInfo) {
@@ -173,6 +179,13 @@
 	}
 }
 
+func promptParts(h http.Header) []string {
+	if h.Get("Parts") == "" {
+		return nil
+	}
+	return strings.Split(h.Get("Parts"), ",")
+}
+
 // server is a backend server or the leader of a replica group.
 type server struct {
 	id      string
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -168,6 +168,9 @@
 		case errors.Is(ctx.Err(), context.Canceled):
 			result, outcome = streamCallerGone, dispatch.Cancelled
 		}
+		if result == streamBroken && !watch.stalled() && ctx.Err() == nil {
+			g.examineBroken(c, res, watch)
+		}
 		if c.delivered > delivered {
 			c.startedOn = append(c.startedOn, res.Server.Incarnation())
 		}
@@ -191,6 +194,14 @@
 	return result, false
 }
 
+// examineBroken finds out, in the background, whether the server of a broken
+// attempt crashed.
+func (g *Gateway) examineBroken(c *call, res *dispatch.Reservation, watch *watchdog) {
+	a := brokenAttempt{server: res.Server, request: c.info.ID, parts: c.sharedParts(), brokenAt: time.Now()}
+	a.events, a.firstEvent = watch.arrived()
+	g.spawn(func() { g.crashes.examine(a) })
+}
+
 // relay forwards the events of one server's response, or keeps the response if
 // it is an error.
 func (s *streamRelay) relay(x *backend.Exchange, res *dispatch.Reservation, watch *watchdog) (streamResult, string) {
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -31,9 +31,11 @@
 	mu        sync.Mutex
 	timer     *time.Timer
 	lastEvent time.Time
-	gotEvent  bool
-	stopped   bool
-	fired     bool
+	// firstEvent is the time of the first event, and events their number.
+	firstEvent time.Time
+	events     int
+	stopped    bool
+	fired      bool
 }
 
 // newWatchdog starts a watchdog and returns the context that it cancels. The
@@ -56,7 +58,7 @@
 	now := time.Now()
 	idle := now.Sub(w.lastEvent)
 	if (idle > watchInterval && w.reservation.Stalled(now)) || idle > stallTimeout {
-		if w.takeRetry(w.gotEvent) {
+		if w.takeRetry(w.events > 0) {
 			w.fired = true
 			w.stopped = true
 			w.cancel()
@@ -70,7 +72,18 @@
 func (w *watchdog) progress(now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.lastEvent, w.gotEvent = now, true
+	w.lastEvent = now
+	if w.events == 0 {
+		w.firstEvent = now
+	}
+	w.events++
+}
+
+// arrived returns the number of events and the time of the first one.
+func (w *watchdog) arrived() (events int, first time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.events, w.firstEvent
 }
 
 // stop ends the checks and cancels the attempt's context.
--- a/internal/standin/memory.go
+++ b/internal/standin/memory.go
@@ -5,6 +5,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"syscall"
 )
 
 // memoryNetwork connects clients and listeners of one process with net.Pipe.
@@ -67,7 +68,7 @@
 	m.mu.Lock()
 	l := m.listeners[address]
 	m.mu.Unlock()
-	refused := &net.OpError{Op: "dial", Net: "memory", Addr: memoryAddr(address), Err: net.ErrClosed}
+	refused := &net.OpError{Op: "dial", Net: "memory", Addr: memoryAddr(address), Err: syscall.ECONNREFUSED}
 	if l == nil {
 		return nil, refused
 	}
