--- a/internal/site/callers_test.go
+++ b/internal/site/callers_test.go
@@ -45,6 +45,8 @@
 	at           time.Time
 	path         string
 	organisation string
+	model        string
+	deadly       bool
 	status       int
 	complete     bool
 	err          error
@@ -141,7 +143,8 @@
 	c.last++
 	id := strconv.Itoa(c.last)
 	c.mu.Unlock()
-	r := result{at: time.Now(), path: path, organisation: organisation}
+	parts, deadly := c.site.drawParts(id, path, &model)
+	r := result{at: time.Now(), path: path, organisation: organisation, model: model, deadly: deadly}
 	m := c.pickMachine(zone)
 	if m == nil {
 		return c.addResult(r)
@@ -156,7 +159,7 @@
 	request.Host = "yard.example"
 	for name, value := range map[string]string{
 		"Id": id, "Key": "k-" + organisation, "Weights": model, "Wait-Ms": strconv.FormatInt(timeout.Milliseconds(), 10),
-		"Sent": strconv.FormatInt(r.at.UnixMilli(), 10),
+		"Sent": strconv.FormatInt(r.at.UnixMilli(), 10), "Parts": parts,
 	} {
 		request.Header.Set(name, value)
 	}
--- a/internal/site/checker_test.go
+++ b/internal/site/checker_test.go
@@ -72,6 +72,10 @@
 	// requests may be denied.
 	keysChangedFor map[string]bool
 	denied         int
+	// deadlyArrivals holds when requests with a deadly part reached a server, and
+	// deadlyCrashes when a server crashed on it, by part.
+	deadlyArrivals map[string][]time.Time
+	deadlyCrashes  map[string][]time.Time
 }
 
 func newChecker() *checker {
@@ -81,6 +85,7 @@
 		evacuatedAt: map[string]time.Time{}, drainingSince: map[string]time.Time{}, cancelledAt: map[string]time.Time{},
 		workedAfterCancel: map[string]bool{}, seen: map[string]bool{}, requests: map[string][]time.Time{},
 		retries: map[string][]time.Time{}, coldArrivals: map[string][]time.Time{}, keysChangedFor: map[string]bool{},
+		deadlyArrivals: map[string][]time.Time{}, deadlyCrashes: map[string][]time.Time{},
 	}
 }
 
@@ -156,6 +161,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now, id := time.Now(), h.Get("Id")
+	for _, part := range promptParts(h) {
+		if isDeadly(part) {
+			c.deadlyArrivals[part] = append(c.deadlyArrivals[part], now)
+		}
+	}
 	if h.Get("Key") != "" {
 		c.addViolation("UNASKED: request %s reached server %s with the caller's key in its header", id, host.ID)
 	}
@@ -280,6 +290,7 @@
 	}
 	c.checkAttempts()
 	c.checkRetries()
+	c.checkDeadlyParts()
 	// Every id in workedAfterCancel is also in cancelledAt. Up to 3 of the
 	// cancelled requests, or up to a quarter of them, may be continued.
 	continued := 0
--- a/internal/site/platform_test.go
+++ b/internal/site/platform_test.go
@@ -103,7 +103,7 @@
 			ms, _ := strconv.Atoi(h.Get("Wait-Ms")) // absent means no timeout
 			return gateway.RequestInfo{
 				ID: h.Get("Id"), Key: h.Get("Key"), Timeout: time.Duration(ms) * time.Millisecond,
-				Model: h.Get("Weights"), LastEventID: h.Get("After"), MaxTokens: eventCount,
+				Model: h.Get("Weights"), LastEventID: h.Get("After"), MaxTokens: eventCount, PromptParts: promptParts(h),
 			}
 		},
 		Forward: func(h http.Header, f gateway.ForwardInfo) {
--- a/internal/site/requests_test.go
+++ b/internal/site/requests_test.go
@@ -176,7 +176,7 @@
 	after, _ := strconv.Atoi(r.Header.Get("After")) // absent means from the start
 	for i := after + 1; i <= eventCount; i++ {
 		time.Sleep(eventInterval * time.Duration(max(faults.slow, 1)))
-		if !s.waitForGroup(h, m, r) {
+		if !s.waitForGroup(h, m, r) || s.crashedBy(srv.id, r.Header) {
 			panic(http.ErrAbortHandler)
 		}
 		s.checker.eventWritten(id)
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -53,6 +53,7 @@
 	machines         []*machine
 	orderFaults      orderFaults
 	storeUnavailable bool
+	deadly           deadlyRequests
 	plannedOnly      bool
 	checker          *checker
 	callers          callers
