Hold back requests with a prompt part that crashes servers

Each new request with the part, and up to two retries of each, cost another server.

A part is now charged with a crash if a request with it waited for its first event when its server crashed, and cleared by any response that begins and goes on. Entries exchange both. Three crashes by two different requests without a success (four by three, beside successes of others, if the part was served before) put it in quarantine. Requests with it are rejected at once with 503 and a Retry-After; what waits on a server is cancelled. A request whose part has crashed two servers is not retried. The quarantine is a row in the store: a restarted entry reads it before it is ready, and an entry that is cut off from the others learns of it. After 30 s, doubling to 15 min, one request of the whole fleet, chosen by a conditional write, tries the part again. Tables are bounded.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -53,6 +53,9 @@
 	ServerUnresponsive       = Event{413, logrus.WarnLevel, "backend server does not respond to probes"}
 	ServerResponsive         = Event{414, logrus.InfoLevel, "backend server responds to probes again"}
 	AttemptBroken            = Event{504, logrus.WarnLevel, "attempt of a streamed response broke off; its server was probed"}
+	PartQuarantined          = Event{505, logrus.WarnLevel, "prompt part in quarantine: requests with it are rejected"}
+	PartReleased             = Event{506, logrus.InfoLevel, "prompt part released from quarantine"}
+	PartTried                = Event{507, logrus.InfoLevel, "prompt part in quarantine: one request may try it"}
 	RequestServed            = Event{503, logrus.InfoLevel, "request served"}
 	EvacuatedZonesChanged    = Event{607, logrus.InfoLevel, "set of evacuated zones changed"}
 	ShutdownTimedOut         = Event{105, logrus.WarnLevel, "requests in flight were cut off at the shutdown timeout"}
@@ -66,7 +69,7 @@
 		PeerConnected, PeerLost, PeerRejected,
 		GroupFormed, GroupTakenOver, GroupComplete, GroupIncomplete, GroupRepaired,
 		GroupReformed, GroupReleased, OrderFailed, GroupSuperseded, QuarantineEnded, GroupHandedOver,
-		StreamResumed, WrongEventRejected, RequestFailed, AttemptBroken,
+		StreamResumed, WrongEventRejected, RequestFailed, AttemptBroken, PartQuarantined, PartReleased, PartTried,
 		ConfigApplied, ConfigRejected, ConfigFromPeer, ConfigSnapshot, SnapshotFailed,
 		ProvisionalOrderAccepted, ProvisionalOrderRecorded,
 		LogLinesDropped, SettingsReloaded, SettingsRejected, ServerRecordChanged, ServerRecordStale, ControllerLeaseAcquired, ControllerLeaseLost,
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -83,6 +83,15 @@
 	return c.info.PromptParts[:len(c.info.PromptParts)-1]
 }
 
+// contentID identifies the request across retries of its caller, which have other
+// request IDs: by the last part of its prompt, which is its own.
+func (c *call) contentID() string {
+	if n := len(c.info.PromptParts); n > 0 {
+		return c.info.PromptParts[n-1]
+	}
+	return c.info.ID
+}
+
 // send forwards the request to the server of the reservation and reads the
 // header of its response. If newConn is set, it opens a new connection. It skips
 // late responses to other requests: those with another request ID, and signed
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -99,6 +99,7 @@
 	control     *controlLoop
 	members     *members
 	crashes     *crashDetector
+	isolation   *isolation
 	// peers exchanges in-flight loads with the other entries.
 	peers    *peers
 	stopping atomic.Bool
@@ -155,6 +156,8 @@
 	g.members = newMembers(g)
 	g.peers = newPeers(g)
 	g.crashes = newCrashDetector(g)
+	g.isolation = newIsolation(g)
+	g.isolation.publish(g.metrics.vars)
 	g.control = newControlLoop(g)
 	if err := g.listenAll(); err != nil {
 		cancel()
@@ -167,6 +170,8 @@
 	g.spawn(func() { g.control.run(ctx) })
 	g.spawn(func() { g.peers.run(ctx) })
 	g.spawn(func() { g.sweep(ctx) })
+	g.spawn(func() { g.isolation.follow(ctx) })
+	g.spawn(func() { g.isolation.run(ctx) })
 	return g, nil
 }
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -58,6 +58,9 @@
 	// request. It leaves out servers that could not be reached or that stated
 	// that the request did not run.
 	sent int
+	// trial is set if the request is let through although one of its prompt parts
+	// is in quarantine.
+	trial bool
 	// startedOn holds the server incarnations on which a stream started to run:
 	// those that sent a forwarded event, or an error response that does not
 	// state that the request did not run. It stays empty for plain requests.
@@ -95,7 +98,7 @@
 			return
 		}
 	}
-	if !g.admit(w, r, c) {
+	if !g.admit(w, r, c) || g.isolation.hold(w, c) {
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
--- a/internal/gateway/listeners.go
+++ b/internal/gateway/listeners.go
@@ -59,10 +59,10 @@
 }
 
 // Ready reports whether the load balancer should send new connections to the
-// entry. It needs server records and a recently confirmed configuration, and is
-// false during shutdown.
+// entry. It needs server records, the quarantine and a recently confirmed
+// configuration, and is false during shutdown.
 func (g *Gateway) Ready() bool {
-	if g.stopping.Load() || g.configCache.table.Load() == nil || g.registry.View().Version == 0 {
+	if g.stopping.Load() || g.configCache.table.Load() == nil || g.registry.View().Version == 0 || !g.isolation.ready() {
 		return false
 	}
 	bound := g.settings.Bounds.Revocation
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -17,6 +17,9 @@
 	probes      expvar.Int
 	// crashes counts the server incarnations that were found to have crashed.
 	crashes expvar.Int
+	// heldBack counts the requests that were rejected because of a prompt part in
+	// quarantine.
+	heldBack expvar.Int
 
 	// waited is the time that each attempt spent in the queue, whether or not it
 	// got a reservation. first is the time to the first event of a stream, or to
@@ -40,6 +43,7 @@
 	m.vars.Set("orders", &m.orders)
 	m.vars.Set("reports", &m.probes)
 	m.vars.Set("server-crashes", &m.crashes)
+	m.vars.Set("quarantine-rejections", &m.heldBack)
 	return m
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -29,8 +29,8 @@
 	peerLoadTTL = 2 * time.Second
 )
 
-// peers exchanges the numbers of in-flight requests, by server, with the other
-// entries. Entries of the same zone exchange them for all servers. Entries of
+// peers exchanges the numbers of in-flight requests, by server, and what is known
+// about prompt parts that crash servers with the other entries. Entries of the same zone exchange them for all servers. Entries of
 // different zones exchange them only for the servers of those two zones. In each
 // pair of entries, the one whose name sorts first sends the exchange request, and
 // the reply carries the other entry's loads.
@@ -145,11 +145,13 @@
 func (ps *peers) exchangeWith(ctx context.Context, p *peerEntry) {
 	reply, err := p.link.Call(ctx, peer.Request{Exchange: &peer.Exchange{
 		Entry: ps.gateway.settings.Name, Zone: ps.gateway.settings.Zone, Loads: ps.localLoads(p.zone),
+		Parts: ps.gateway.isolation.tracker.Report(time.Now()),
 	}})
 	// After a failure the link redials. Its connection handler logs the lost
 	// connection.
 	if err == nil && reply.Exchange != nil {
 		ps.storeLoads(reply.Exchange.Entry, reply.Exchange.Loads)
+		ps.gateway.isolation.tracker.Merge(time.Now(), reply.Exchange.Parts)
 	}
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
@@ -190,9 +192,11 @@
 		return peer.Reply{}
 	}
 	ps.storeLoads(r.Exchange.Entry, r.Exchange.Loads)
+	ps.gateway.isolation.tracker.Merge(time.Now(), r.Exchange.Parts)
 	ps.apply()
 	return peer.Reply{Exchange: &peer.ExchangeReply{
 		Entry: ps.gateway.settings.Name, Zone: ps.gateway.settings.Zone, Ready: ps.gateway.Ready(), Loads: ps.localLoads(r.Exchange.Zone),
+		Parts: ps.gateway.isolation.tracker.Report(time.Now()),
 	}}
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -80,6 +80,10 @@
 			c.addNote("the configuration is no longer confirmed")
 			break
 		}
+		if !g.isolation.maySend(c) {
+			res.Release(time.Now(), dispatch.Cancelled)
+			break
+		}
 		result, taken := s.attempt(ctx, res)
 		retryTaken = taken
 		switch result {
@@ -142,7 +146,7 @@
 	g, c := s.gateway, s.call
 	c.tried[res.Server.ID] = true
 	started, delivered := time.Now(), c.delivered
-	attemptCtx, watch := newWatchdog(ctx, res, func(gotEvent bool) bool {
+	attemptCtx, watch := newWatchdog(ctx, res, func() bool { return !c.trial && g.isolation.tracker.Held(c.sharedParts()) }, func(gotEvent bool) bool {
 		if !c.route.Retryable() || c.sent+1 >= c.route.MaxAttempts+extraSends {
 			return false
 		}
@@ -158,7 +162,12 @@
 				outcome = dispatch.Unresponsive
 			}
 		}
+		if result == streamComplete && watch.unproven() {
+			g.isolation.tracker.RecordSuccess(time.Now(), c.sharedParts())
+		}
 		switch {
+		case watch.abandoned():
+			outcome, reason = dispatch.Cancelled, "a prompt part came into quarantine"
 		case result == streamUnsent:
 			outcome = dispatch.Unresponsive
 		case result == streamComplete:
@@ -168,8 +177,8 @@
 		case errors.Is(ctx.Err(), context.Canceled):
 			result, outcome = streamCallerGone, dispatch.Cancelled
 		}
-		if result == streamBroken && !watch.stalled() && ctx.Err() == nil {
-			g.examineBroken(c, res, watch)
+		if result == streamBroken && !watch.stalled() && !watch.abandoned() && ctx.Err() == nil {
+			g.isolation.attemptBroke(ctx, c, res, watch)
 		}
 		if c.delivered > delivered {
 			c.startedOn = append(c.startedOn, res.Server.Incarnation())
@@ -194,14 +203,6 @@
 	return result, false
 }
 
-// examineBroken finds out, in the background, whether the server of a broken
-// attempt crashed.
-func (g *Gateway) examineBroken(c *call, res *dispatch.Reservation, watch *watchdog) {
-	a := brokenAttempt{server: res.Server, request: c.info.ID, parts: c.sharedParts(), brokenAt: time.Now()}
-	a.events, a.firstEvent = watch.arrived()
-	g.spawn(func() { g.crashes.examine(a) })
-}
-
 // relay forwards the events of one server's response, or keeps the response if
 // it is an error.
 func (s *streamRelay) relay(x *backend.Exchange, res *dispatch.Reservation, watch *watchdog) (streamResult, string) {
@@ -245,7 +246,9 @@
 		}
 		now := time.Now()
 		res.RecordProgress(now)
-		watch.progress(now)
+		if watch.progress(now) {
+			s.gateway.isolation.tracker.RecordSuccess(now, c.sharedParts())
+		}
 		if s.alreadySent(e.ID) {
 			continue
 		}
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -27,6 +27,9 @@
 	// in this attempt. The timer's goroutine calls it with mu held, again at
 	// each check until it returns true.
 	takeRetry func(gotEvent bool) bool
+	// held reports whether the request must no longer start anywhere. It is
+	// checked until the first event.
+	held func() bool
 
 	mu        sync.Mutex
 	timer     *time.Timer
@@ -34,15 +37,20 @@
 	// firstEvent is the time of the first event, and events their number.
 	firstEvent time.Time
 	events     int
-	stopped    bool
-	fired      bool
+	// alive is set once the server was still writing aliveAfter after the first
+	// event.
+	alive   bool
+	stopped bool
+	fired   bool
+	// heldBack is set if the attempt was cancelled because of held.
+	heldBack bool
 }
 
 // newWatchdog starts a watchdog and returns the context that it cancels. The
 // caller must call stop.
-func newWatchdog(ctx context.Context, res *dispatch.Reservation, takeRetry func(gotEvent bool) bool) (context.Context, *watchdog) {
+func newWatchdog(ctx context.Context, res *dispatch.Reservation, held func() bool, takeRetry func(gotEvent bool) bool) (context.Context, *watchdog) {
 	ctx, cancel := context.WithCancel(ctx)
-	w := &watchdog{cancel: cancel, reservation: res, takeRetry: takeRetry, lastEvent: time.Now()}
+	w := &watchdog{cancel: cancel, reservation: res, takeRetry: takeRetry, held: held, lastEvent: time.Now()}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(watchInterval, w.check)
@@ -55,6 +63,11 @@
 	if w.stopped {
 		return
 	}
+	if w.events == 0 && w.held() {
+		w.heldBack, w.stopped = true, true
+		w.cancel()
+		return
+	}
 	now := time.Now()
 	idle := now.Sub(w.lastEvent)
 	if (idle > watchInterval && w.reservation.Stalled(now)) || idle > stallTimeout {
@@ -68,8 +81,9 @@
 	w.timer.Reset(watchInterval)
 }
 
-// progress records the arrival of an event.
-func (w *watchdog) progress(now time.Time) {
+// progress records the arrival of an event. It returns true once, when the
+// server is still writing aliveAfter after the first event.
+func (w *watchdog) progress(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.lastEvent = now
@@ -77,6 +91,27 @@
 		w.firstEvent = now
 	}
 	w.events++
+	if w.alive || now.Sub(w.firstEvent) < aliveAfter {
+		return false
+	}
+	w.alive = true
+	return true
+}
+
+// unproven reports whether events have arrived for a shorter time than
+// aliveAfter.
+func (w *watchdog) unproven() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.events > 0 && !w.alive
+}
+
+// abandoned reports whether the attempt was cancelled because the request is
+// held back.
+func (w *watchdog) abandoned() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.heldBack
 }
 
 // arrived returns the number of events and the time of the first one.
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/hibiscuspulley/hibiscuspulley/internal/permit"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/quarantine"
 )
 
 // Exchange is the periodic message of an entry to a peer. It carries the entry's
@@ -21,6 +22,8 @@
 	Orders []Order
 	// Loads lists the backend servers with requests of the sender in flight.
 	Loads []Load
+	// Parts tells which prompt parts crashed servers or were served lately.
+	Parts quarantine.Report
 }
 
 // Load is the number of requests that an entry has in flight at one incarnation of
@@ -60,6 +63,7 @@
 	Grants []permit.Grant
 	Orders []Order
 	Loads  []Load
+	Parts  quarantine.Report
 }
 
 // ConfigPull requests the configuration changes that follow a revision.
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -7,6 +7,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/hibiscuspulley/hibiscuspulley/internal/permit"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/quarantine"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/registry"
 )
 
 // Wire types. Integer keys keep the frames small. The meaning of a key never
@@ -48,16 +50,20 @@
 	Usage          []usageWire         `cbor:"5,keyasint,omitempty"`
 	Orders         []orderWire         `cbor:"6,keyasint,omitempty"`
 	Loads          []loadWire          `cbor:"20,keyasint,omitempty"`
+	Crashes        []crashWire         `cbor:"21,keyasint,omitempty"`
+	Successes      []successWire       `cbor:"22,keyasint,omitempty"`
 }
 
 type exchangeReplyWire struct {
-	Revision uint64      `cbor:"1,keyasint"`
-	Ready    bool        `cbor:"2,keyasint,omitempty"`
-	Grants   []grantWire `cbor:"3,keyasint,omitempty"`
-	Entry    string      `cbor:"4,keyasint"`
-	Zone     string      `cbor:"5,keyasint"`
-	Orders   []orderWire `cbor:"6,keyasint,omitempty"`
-	Loads    []loadWire  `cbor:"20,keyasint,omitempty"`
+	Revision  uint64        `cbor:"1,keyasint"`
+	Ready     bool          `cbor:"2,keyasint,omitempty"`
+	Grants    []grantWire   `cbor:"3,keyasint,omitempty"`
+	Entry     string        `cbor:"4,keyasint"`
+	Zone      string        `cbor:"5,keyasint"`
+	Orders    []orderWire   `cbor:"6,keyasint,omitempty"`
+	Loads     []loadWire    `cbor:"20,keyasint,omitempty"`
+	Crashes   []crashWire   `cbor:"21,keyasint,omitempty"`
+	Successes []successWire `cbor:"22,keyasint,omitempty"`
 }
 
 type loadWire struct {
@@ -67,6 +73,45 @@
 	Stalled   bool   `cbor:"4,keyasint,omitempty"`
 }
 
+type crashWire struct {
+	Part      string `cbor:"1,keyasint"`
+	Server    string `cbor:"2,keyasint"`
+	StartTime int64  `cbor:"3,keyasint"`
+	Request   string `cbor:"4,keyasint"`
+	AgeMS     int64  `cbor:"5,keyasint,omitempty"`
+}
+
+type successWire struct {
+	Part  string `cbor:"1,keyasint"`
+	AgeMS int64  `cbor:"2,keyasint,omitempty"`
+}
+
+func reportToWire(r quarantine.Report) (crashes []crashWire, successes []successWire) {
+	for _, c := range r.Crashes {
+		crashes = append(crashes, crashWire{
+			Part: c.Part, Server: c.Server.ID, StartTime: c.Server.StartTime, Request: c.Request, AgeMS: c.Age.Milliseconds(),
+		})
+	}
+	for _, s := range r.Successes {
+		successes = append(successes, successWire{Part: s.Part, AgeMS: s.Age.Milliseconds()})
+	}
+	return crashes, successes
+}
+
+func reportFromWire(crashes []crashWire, successes []successWire) quarantine.Report {
+	var r quarantine.Report
+	for _, w := range crashes {
+		r.Crashes = append(r.Crashes, quarantine.Crash{
+			Part: w.Part, Server: registry.Incarnation{ID: w.Server, StartTime: w.StartTime}, Request: w.Request,
+			Age: time.Duration(w.AgeMS) * time.Millisecond,
+		})
+	}
+	for _, w := range successes {
+		r.Successes = append(r.Successes, quarantine.Success{Part: w.Part, Age: time.Duration(w.AgeMS) * time.Millisecond})
+	}
+	return r
+}
+
 func loadsToWire(loads []Load) []loadWire {
 	var wires []loadWire
 	for _, l := range loads {
@@ -194,6 +239,7 @@
 	w := &exchangeWire{
 		Entry: e.Entry, Zone: e.Zone, Revision: e.Revision, Orders: ordersToWire(e.Orders), Loads: loadsToWire(e.Loads),
 	}
+	w.Crashes, w.Successes = reportToWire(e.Parts)
 	for _, c := range e.CreditRequests {
 		w.CreditRequests = append(w.CreditRequests, creditRequestWire{
 			Group: c.Group, Want: c.Want, InFlight: c.InFlight, AppliedSeq: c.AppliedSeq,
@@ -210,6 +256,7 @@
 func exchangeFromWire(w exchangeWire) *Exchange {
 	e := &Exchange{
 		Entry: w.Entry, Zone: w.Zone, Revision: w.Revision, Orders: ordersFromWire(w.Orders), Loads: loadsFromWire(w.Loads),
+		Parts: reportFromWire(w.Crashes, w.Successes),
 	}
 	for _, c := range w.CreditRequests {
 		e.CreditRequests = append(e.CreditRequests, permit.CreditRequest{
@@ -229,6 +276,7 @@
 		Entry: r.Entry, Zone: r.Zone, Revision: r.Revision, Ready: r.Ready, Orders: ordersToWire(r.Orders),
 		Loads: loadsToWire(r.Loads),
 	}
+	w.Crashes, w.Successes = reportToWire(r.Parts)
 	for _, g := range r.Grants {
 		w.Grants = append(w.Grants, grantWire{
 			Group: g.Group, Generation: g.Generation, Leader: g.Leader, Seq: g.Seq,
@@ -241,7 +289,7 @@
 func exchangeReplyFromWire(w exchangeReplyWire) *ExchangeReply {
 	r := &ExchangeReply{
 		Entry: w.Entry, Zone: w.Zone, Revision: w.Revision, Ready: w.Ready, Orders: ordersFromWire(w.Orders),
-		Loads: loadsFromWire(w.Loads),
+		Loads: loadsFromWire(w.Loads), Parts: reportFromWire(w.Crashes, w.Successes),
 	}
 	for _, g := range w.Grants {
 		r.Grants = append(r.Grants, permit.Grant{
