Condemn the part that explains most crashes first

Callers lost requests on kept connections when entries ended with a nil pointer: of two parts condemned in one step, the first one's crashes were dropped from the second, which no longer existed when its turn came. The second was a bystander, which should not have been condemned at all.

The parts are now taken by their number of crashes, and those that the first one explains are judged anew.

TestPartWithMostCrashesIsCondemnedFirst and TestPartsThatAreAlwaysTogetherAreCondemnedTogether failed before.

--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -228,30 +228,61 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	maps.DeleteFunc(t.explained, func(_ registry.Incarnation, at time.Time) bool { return now.Sub(at) > crashMemory })
-	var convicted []string
 	for part, s := range t.suspects {
 		s.drop(func(c charge) bool { return now.Sub(c.at) > crashMemory })
 		if len(s.crashes) == 0 {
 			delete(t.suspects, part)
-			continue
-		}
-		_, servedBefore := t.good.last(part)
-		if s.convicted(now, servedBefore, t.successCount) {
-			convicted = append(convicted, part)
 		}
 	}
-	slices.Sort(convicted)
-	for _, part := range convicted {
-		t.convict(now, part)
+	for {
+		parts := t.mostCharged(now)
+		if len(parts) == 0 {
+			break
+		}
+		t.convict(now, parts)
 	}
 	changes := t.changes
 	t.changes = nil
 	return changes
 }
 
-// convict puts a suspect in quarantine. The caller holds t.mu.
-func (t *Tracker) convict(now time.Time, part string) {
-	s := t.suspects[part]
+// mostCharged returns those of the suspects to convict that are charged with the
+// most crashes. The others may only have waited on the same servers. The caller
+// holds t.mu.
+func (t *Tracker) mostCharged(now time.Time) []string {
+	var parts []string
+	most := 0
+	for part, s := range t.suspects {
+		_, servedBefore := t.good.last(part)
+		if len(s.crashes) < most || !s.convicted(now, servedBefore, t.successCount) {
+			continue
+		}
+		if len(s.crashes) > most {
+			parts, most = nil, len(s.crashes)
+		}
+		parts = append(parts, part)
+	}
+	slices.Sort(parts)
+	return parts
+}
+
+// convict puts suspects in quarantine. Their crashes are no longer charged to
+// other parts. The caller holds t.mu.
+func (t *Tracker) convict(now time.Time, parts []string) {
+	var crashes []charge
+	for _, part := range parts {
+		s := t.suspects[part]
+		delete(t.suspects, part)
+		crashes = append(crashes, s.crashes...)
+		t.add(now, &quarantined{record: t.newRecord(part, s), since: now, seenAt: now, ownCrash: s.ownCrash},
+			"it was in requests in progress on servers that crashed")
+	}
+	for _, c := range crashes {
+		t.explain(c.server, now)
+	}
+}
+
+func (t *Tracker) newRecord(part string, s *suspect) Record {
 	r := Record{Part: part, Entry: t.entry}
 	for _, c := range s.crashes {
 		r.Servers = append(r.Servers, c.server.ID)
@@ -259,11 +290,7 @@
 			r.Requests = append(r.Requests, c.request)
 		}
 	}
-	delete(t.suspects, part)
-	t.add(now, &quarantined{record: r, since: now, seenAt: now, ownCrash: s.ownCrash}, "it was in requests in progress on servers that crashed")
-	for _, c := range s.crashes {
-		t.explain(c.server, now)
-	}
+	return r
 }
 
 // add adds a part in quarantine and releases another one if there are too many.
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -113,6 +113,31 @@
 	require.False(t, tracker.Held([]string{"bystander"}))
 }
 
+// A bystander waited on most of the servers that crashed. The part that explains
+// them all is condemned first, and then nothing is left against the other.
+func TestPartWithMostCrashesIsCondemnedFirst(t *testing.T) {
+	tracker := quarantine.NewTracker("e1")
+	for n := range 4 {
+		crash(tracker, start, n, "deadly")
+		if n > 0 {
+			crash(tracker, start, n, "a-bystander")
+		}
+	}
+	changes := tracker.Step(start.Add(time.Second))
+	require.Len(t, changes, 1)
+	require.Equal(t, "deadly", changes[0].Part)
+	require.Empty(t, tracker.Step(start.Add(time.Minute)))
+}
+
+// Nothing tells two parts apart that were always together.
+func TestPartsThatAreAlwaysTogetherAreCondemnedTogether(t *testing.T) {
+	tracker := quarantine.NewTracker("e1")
+	for n := range 4 {
+		crash(tracker, start, n, "one", "two")
+	}
+	require.Len(t, tracker.Step(start.Add(time.Second)), 2)
+}
+
 // Each entry sees one crash. Only together do they know enough.
 func TestEntriesCountCrashesTogether(t *testing.T) {
 	var trackers []*quarantine.Tracker
