Fail responses whose body is too long instead of cutting them

A body over 16 MiB now fails the attempt: 502, or a retry where the route allows it. All bodies that an entry buffers at a time share 24 MiB.

TestAnEndlessBodyFailsTheCall (200 where 502 is wanted) failed before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,6 +100,7 @@
 	members     *members
 	crashes     *crashDetector
 	isolation   *isolation
+	buffers     responseBuffers
 	// peers exchanges in-flight loads with the other entries.
 	peers    *peers
 	stopping atomic.Bool
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,10 +1,12 @@
 package gateway_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -162,6 +164,69 @@
 }
 
 // The route's timeout expires while a server is still processing the request.
+// A server in trouble sends a body without end. It must neither be delivered in
+// part as if it were whole, nor fill the entry's memory until the call's timeout.
+func TestAnEndlessBodyFailsTheCall(t *testing.T) {
+	for _, path := range []string{"/bays/1", "/dock/1", "/notes/1"} {
+		for _, status := range []int{http.StatusOK, http.StatusInternalServerError} {
+			var written atomic.Int64
+			body := func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Receipt", "1")
+				w.WriteHeader(status)
+				for written.Load() < 256<<20 {
+					n, err := w.Write(bytes.Repeat([]byte("x"), 1<<16))
+					written.Add(int64(n))
+					if err != nil {
+						return
+					}
+				}
+			}
+			run(t, func(s *site) {
+				s.add("d1", "docking", "", body)
+				s.add("g1", "notes", "large", body)
+			}, func(s *site) {
+				got := s.call(s.t.Context(), http.MethodPost, path, "1", nil)
+				require.Equal(s.t, http.StatusBadGateway, got.status, path)
+				require.Less(s.t, written.Load(), int64(20<<20), path)
+			})
+		}
+	}
+}
+
+// Many such servers at once share what an entry buffers.
+func TestBufferedResponsesShareOneLimit(t *testing.T) {
+	large := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Receipt", "1")
+		_, _ = w.Write(make([]byte, 10<<20)) // fails for the calls beyond the limit
+		time.Sleep(100 * time.Millisecond)
+	}
+	run(t, func(s *site) {
+		for n := range 4 {
+			s.add(fmt.Sprint("d", n), "docking", "", large)
+		}
+	}, func(s *site) {
+		for range 2 { // the limit is free again afterwards
+			var served, failed atomic.Int64
+			var wg sync.WaitGroup
+			for n := range 6 {
+				wg.Go(func() {
+					got := s.call(s.t.Context(), http.MethodPost, "/dock/1", fmt.Sprint(n), nil)
+					if got.status == http.StatusOK && len(got.body) == 10<<20 {
+						served.Add(1)
+					} else if got.status == http.StatusBadGateway {
+						failed.Add(1)
+					}
+				})
+			}
+			wg.Wait()
+			require.EqualValues(s.t, 6, served.Load()+failed.Load())
+			require.Positive(s.t, served.Load())
+			require.Positive(s.t, failed.Load())
+			time.Sleep(time.Second)
+		}
+	})
+}
+
 func TestCallEndsAtRouteTimeout(t *testing.T) {
 	slow := func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
 	run(t, func(s *site) { s.add("d1", "docking", "", slow) }, func(s *site) {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -74,6 +74,8 @@
 	// lastResume is the value of sent when a resume was last logged. It limits
 	// the log to one resume per attempt.
 	lastResume int
+	// buffered is the memory that is reserved for response bodies.
+	buffered int64
 	// delivered counts the events of a stream that were forwarded to the caller.
 	delivered int
 }
@@ -103,6 +105,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	defer func() { g.buffers.release(c.buffered) }()
 	g.budget(c.service).RecordRequest(c.started)
 	if c.route.Kind == routes.Streaming {
 		g.serveStream(ctx, w, c)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -14,10 +14,6 @@
 	"github.com/hibiscuspulley/hibiscuspulley/internal/dispatch"
 )
 
-// maxPlainResponse limits the bytes of a response body that is buffered in
-// memory. A longer body is cut off there without an error.
-const maxPlainResponse = 16 << 20
-
 // plainResponse is a server's response, buffered in memory.
 type plainResponse struct {
 	status int
@@ -118,7 +114,7 @@
 		return nil, failure
 	}
 	info := g.platform.Protocol.DecodeResponse(x.Response.Header, x.Response.StatusCode)
-	body, err := io.ReadAll(io.LimitReader(x.Body(), maxPlainResponse))
+	body, err := g.readBody(c, x)
 	status := x.Response.StatusCode
 	switch {
 	case err != nil:
@@ -143,6 +139,17 @@
 	return &plainResponse{status: status, header: x.Response.Header, body: body, notRun: info.NotRun}, nil
 }
 
+// readBody buffers the body of a response for the rest of the call.
+func (g *Gateway) readBody(c *call, x *backend.Exchange) ([]byte, error) {
+	body, reserved, err := g.buffers.read(x.Body())
+	if err != nil {
+		g.buffers.release(reserved)
+		return nil, err
+	}
+	c.buffered += reserved
+	return body, nil
+}
+
 // deliver forwards a buffered response to the caller and logs the outcome.
 func (g *Gateway) deliver(w http.ResponseWriter, c *call, response *plainResponse) {
 	g.metrics.status(response.status)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -208,7 +208,7 @@
 func (s *streamRelay) relay(x *backend.Exchange, res *dispatch.Reservation, watch *watchdog) (streamResult, string) {
 	info := s.gateway.platform.Protocol.DecodeResponse(x.Response.Header, x.Response.StatusCode)
 	if x.Response.StatusCode >= http.StatusMultipleChoices {
-		body, err := io.ReadAll(io.LimitReader(x.Body(), maxPlainResponse))
+		body, err := s.gateway.readBody(s.call, x)
 		if err != nil {
 			x.Abort()
 			return streamBroken, err.Error()
