Count a contender's wait from the return of its first read

Around a hand-over both controllers of a zone could act for a moment: a contender counted how long a session stayed unchanged from when it sent the read that first showed it. The store may read the row at any time until the read returns, after a renewal that the holder sent later. A read may take 1.2 s, the grace is 0.5 s, so that the lease could be taken 0.7 s before its holder's term ended. Then both send orders.

The wait now begins when that read returns and ends when a later one is sent. Both kinds of sessions use the same watcher.

TestASlowReadDoesNotShortenTheTerm failed before. The property's contender now reads in three steps (sent, read, returned) as well as at once, over 200 steps instead of 100.

--- a/internal/entry/view_cache.go
+++ b/internal/entry/view_cache.go
@@ -135,7 +135,7 @@
 	for _, row := range next.Sessions {
 		rows = append(rows, row)
 	}
-	c.watcher.Observe(sentAt, rows)
+	c.watcher.Observe(sentAt, time.Now(), rows)
 	c.view.Store(next)
 }
 
--- a/internal/gateway/lease.go
+++ b/internal/gateway/lease.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return
 	}
-	cl.watcher.Observe(now, []membership.Row{row})
+	cl.watcher.Observe(now, cl.gateway.bootClock(), []membership.Row{row})
 	if row.Version != 0 && row.State == membership.Live {
 		if !cl.watcher.Expired(row) && !cl.heldByPreviousProcess(row) {
 			return
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -108,7 +108,7 @@
 		}
 		rows = append(rows, decoded)
 	}
-	m.watcher.Observe(sentAt, rows)
+	m.watcher.Observe(sentAt, m.gateway.bootClock(), rows)
 	live := make([]membership.Row, 0, len(rows))
 	for _, row := range rows {
 		if row.State == membership.Live && !m.watcher.Expired(row) {
--- a/internal/membership/property_test.go
+++ b/internal/membership/property_test.go
@@ -34,6 +34,27 @@
 	sentAt  time.Time
 }
 
+// delayedRead is a read in one of three stages: not sent, sent, and with the row
+// on its way back.
+type delayedRead struct {
+	stage  int
+	sentAt time.Time
+	row    membership.Row
+}
+
+// advance moves the read to its next stage. It returns true when the read
+// returns.
+func (r *delayedRead) advance(now time.Time, rows *table) bool {
+	r.stage = (r.stage + 1) % 3
+	switch r.stage {
+	case 1:
+		r.sentAt = now
+	case 2:
+		r.row = rows.row
+	}
+	return r.stage == 0
+}
+
 // TestPromiseOwnerActsOnlyInItsTerm checks that a session is never valid for its
 // holder after a contender has lapsed it. Processes pause, and writes and
 // responses are delayed or lost.
@@ -52,7 +73,8 @@
 		version, _ := rows.write(first, 0)
 		holder.Confirm(first, version, now)
 		var writes, responses []delayedWrite
-		for i := range 100 {
+		var read delayedRead
+		for i := range 200 {
 			now = now.Add(time.Duration(rng.IntN(1500)) * time.Millisecond)
 			switch rng.IntN(9) {
 			case 0, 1: // a renewal is sent
@@ -77,10 +99,15 @@
 				}
 			case 5: // the holder reads its row back
 				holder.Observe(rows.row)
-			default: // the contender reads the row and lapses an expired session
-				watcher.Observe(now, []membership.Row{rows.row})
-				if watcher.Expired(rows.row) {
-					rows.write(membership.Lapse(rows.row, "l"), rows.row.Version)
+			default: // the contender's read is sent, takes effect or returns
+				if read.stage == 0 && rng.IntN(2) == 0 { // a read without delay
+					read = delayedRead{stage: 2, sentAt: now, row: rows.row}
+				}
+				if read.advance(now, rows) {
+					watcher.Observe(read.sentAt, now, []membership.Row{read.row})
+					if watcher.Expired(read.row) {
+						rows.write(membership.Lapse(read.row, "l"), read.row.Version)
+					}
 				}
 			}
 			if rows.row.State == membership.Lapsed {
@@ -95,15 +122,33 @@
 	watcher := membership.NewWatcher(timing)
 	row := membership.Row{Session: membership.Session{Entry: "a", Epoch: 1, Counter: 1, State: membership.Live}, Version: 1}
 	now := time.Unix(0, 0)
-	watcher.Observe(now, []membership.Row{row})
+	watcher.Observe(now, now, []membership.Row{row})
 	now = now.Add(10 * time.Minute) // the platform did not respond
-	watcher.Observe(now, []membership.Row{row})
+	watcher.Observe(now, now, []membership.Row{row})
 	require.False(t, watcher.Expired(row))
 	for range 7 {
 		require.False(t, watcher.Expired(row))
 		now = now.Add(time.Second)
-		watcher.Observe(now, []membership.Row{row})
+		watcher.Observe(now, now, []membership.Row{row})
+	}
+	require.True(t, watcher.Expired(row))
+}
+
+// A read that took long may have been sent well before the holder renewed. The
+// contender must count from its return, or both act for a moment.
+func TestASlowReadDoesNotShortenTheTerm(t *testing.T) {
+	timing := membership.DefaultTiming()
+	watcher := membership.NewWatcher(timing)
+	row := membership.Row{Session: membership.Session{Entry: "a", Epoch: 1, Counter: 7, State: membership.Live}, Version: 1}
+	sentAt := time.Unix(0, 0)
+	returnedAt := sentAt.Add(2 * time.Second)
+	watcher.Observe(sentAt, returnedAt, []membership.Row{row})
+	for now := returnedAt; now.Before(returnedAt.Add(timing.Term + timing.Grace)); now = now.Add(500 * time.Millisecond) {
+		watcher.Observe(now, now, []membership.Row{row})
+		require.False(t, watcher.Expired(row), now.Sub(returnedAt))
 	}
+	end := returnedAt.Add(timing.Term + timing.Grace)
+	watcher.Observe(end, end, []membership.Row{row})
 	require.True(t, watcher.Expired(row))
 }
 
--- a/internal/membership/watcher.go
+++ b/internal/membership/watcher.go
@@ -6,8 +6,9 @@
 type observation struct {
 	epoch   uint64
 	counter uint64
-	// unchangedFor is how long the row has stayed unchanged while the platform
-	// responded.
+	// since is when the first of the reads that returned this state returned.
+	since time.Time
+	// unchangedFor is the time from since until the last read was sent.
 	unchangedFor time.Duration
 }
 
@@ -26,32 +27,31 @@
 	return &Watcher{timing: timing, observations: make(map[string]observation)}
 }
 
-// Observe records the session rows returned by a read that was sent at sentAt.
-// If more than half a term has passed since the last read, it resets all
-// observations, so holders get the full term and grace time after an outage of
-// the platform.
-func (w *Watcher) Observe(sentAt time.Time, rows []Row) {
-	elapsed := sentAt.Sub(w.lastRead)
-	if elapsed > w.timing.Term/2 || w.lastRead.IsZero() {
+// Observe records the session rows returned by a read that was sent at sentAt and
+// returned at returnedAt. If more than half a term has passed between the sending
+// of the last read and of this one, it resets all observations, so holders get the
+// full term and grace time after an outage of the platform.
+func (w *Watcher) Observe(sentAt, returnedAt time.Time, rows []Row) {
+	if w.lastRead.IsZero() || sentAt.Sub(w.lastRead) > w.timing.Term/2 {
 		w.observations = make(map[string]observation)
-		elapsed = 0
 	}
 	w.lastRead = sentAt
 	next := make(map[string]observation, len(rows))
 	for _, row := range rows {
-		next[row.Entry] = w.observeRow(row, elapsed)
+		next[row.Entry] = w.observeRow(row, sentAt, returnedAt)
 	}
 	w.observations = next
 }
 
-// observeRow returns the new observation of a row. elapsed is the time since the
-// last read.
-func (w *Watcher) observeRow(row Row, elapsed time.Duration) observation {
+// observeRow returns the new observation of a row. The store may have read a new
+// state at any time until returnedAt, and an unchanged one at any time from sentAt
+// on.
+func (w *Watcher) observeRow(row Row, sentAt, returnedAt time.Time) observation {
 	last, found := w.observations[row.Entry]
 	if !found || last.epoch != row.Epoch || last.counter != row.Counter {
-		return observation{epoch: row.Epoch, counter: row.Counter}
+		return observation{epoch: row.Epoch, counter: row.Counter, since: returnedAt}
 	}
-	last.unchangedFor += elapsed
+	last.unchangedFor = sentAt.Sub(last.since)
 	return last
 }
 
