Answer requests on connections accepted just before an entry stops

During a planned stop a caller that had just connected got a closed connection instead of an answer: once no request was in flight, the entry closed all connections, also those whose first request was on its way.

The entry now closes its listener first and waits up to 0.5 s for the first requests on accepted connections; they get 503 with Connection: close. http.Server.Shutdown was tried first: it reads such a request and drops it.

TestAConnectionThatWasJustAcceptedGetsItsAnswer failed before (unexpected EOF).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -110,10 +111,12 @@
 	inFlight atomic.Int64
 	// server serves callers. servers also holds the HTTP servers for readiness,
 	// peers and metrics.
-	server  *http.Server
-	servers []*http.Server
-	cancel  context.CancelFunc
-	wg      sync.WaitGroup
+	server         *http.Server
+	servers        []*http.Server
+	callerListener net.Listener
+	callerConns    connStates
+	cancel         context.CancelFunc
+	wg             sync.WaitGroup
 
 	mu      sync.Mutex
 	budgets map[string]*retry.SlidingWindow
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,9 +1,11 @@
 package gateway_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -386,6 +388,30 @@
 	})
 }
 
+// Guards against cutting off callers that connected just before the entry
+// stopped: a request on such a connection gets its answer.
+func TestAConnectionThatWasJustAcceptedGetsItsAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t)
+		s.add("d1", "docking", "", ok)
+		s.start()
+		go s.entry.Shutdown(context.Background())
+		time.Sleep(3050 * time.Millisecond)
+		conn, err := s.network.Dialer("a")(t.Context(), "tcp", callerAddress)
+		require.NoError(t, err)
+		defer conn.Close()
+		time.Sleep(200 * time.Millisecond)
+		_, err = io.WriteString(conn, "POST /dock/1 HTTP/1.1\r\nHost: yard.example\r\nId: 1\r\nKey: "+key+"\r\nContent-Length: 0\r\n\r\n")
+		require.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		require.NoError(t, response.Body.Close())
+		s.servers["d1"].stop()
+		time.Sleep(time.Minute)
+	})
+}
+
 func TestRequestsLongAfterTheSignalAreRejected(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t)
--- a/internal/gateway/listeners.go
+++ b/internal/gateway/listeners.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net"
 	"net/http"
 	"time"
 
@@ -15,20 +16,21 @@
 func (g *Gateway) listenAll() error {
 	g.server = &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		IdleTimeout: time.Minute + idleMargin,
+		IdleTimeout: time.Minute + idleMargin, ConnState: g.callerConns.set,
 	}
-	if err := g.serve(g.server, g.settings.CallerAddress); err != nil {
+	var err error
+	if g.callerListener, err = g.serve(g.server, g.settings.CallerAddress); err != nil {
 		return err
 	}
 	ready := http.NewServeMux()
 	ready.HandleFunc(g.settings.ReadinessPath, g.handleReadiness)
-	if err := g.serve(&http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout}, g.settings.ReadinessAddress); err != nil {
+	if _, err := g.serve(&http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout}, g.settings.ReadinessAddress); err != nil {
 		return err
 	}
 	if g.settings.PeerAddress != "" {
 		exchange := http.NewServeMux()
 		exchange.Handle(exchangePath, g.peers.server)
-		if err := g.serve(&http.Server{Handler: exchange, ReadHeaderTimeout: headerTimeout}, g.settings.PeerAddress); err != nil {
+		if _, err := g.serve(&http.Server{Handler: exchange, ReadHeaderTimeout: headerTimeout}, g.settings.PeerAddress); err != nil {
 			return err
 		}
 	}
@@ -40,22 +42,23 @@
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write([]byte(g.metrics.vars.String()))
 	})
-	return g.serve(&http.Server{Handler: counters, ReadHeaderTimeout: headerTimeout}, g.settings.MetricsAddress)
+	_, err = g.serve(&http.Server{Handler: counters, ReadHeaderTimeout: headerTimeout}, g.settings.MetricsAddress)
+	return err
 }
 
 // serve opens a listener and serves it in the background.
-func (g *Gateway) serve(s *http.Server, address string) error {
+func (g *Gateway) serve(s *http.Server, address string) (net.Listener, error) {
 	l, err := g.listen("tcp", address)
 	if err != nil {
-		return errors.Wrapf(err, "listen on %s", address)
+		return nil, errors.Wrapf(err, "listen on %s", address)
 	}
 	g.servers = append(g.servers, s)
 	g.spawn(func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !g.stopping.Load() {
 			event.ListenerFailed.Log(g.logger, logrus.Fields{"address": address, "error": err})
 		}
 	})
-	return nil
+	return l, nil
 }
 
 // Ready reports whether the load balancer should send new connections to the
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -9,13 +9,22 @@
 	"github.com/hibiscuspulley/hibiscuspulley/internal/event"
 )
 
+const (
+	// closePeriod is how long the entry waits for the requests on connections that
+	// it has just accepted. Callers send one within a round trip.
+	closePeriod = 500 * time.Millisecond
+	// closeCheckInterval is how often the entry checks whether they are answered.
+	closeCheckInterval = 20 * time.Millisecond
+)
+
 // stoppingSince returns when Shutdown began. It is only valid after that.
 func (g *Gateway) stoppingSince() time.Time { return time.Unix(0, g.shutdownBeganAt.Load()) }
 
 // Shutdown reports the entry as not ready and releases the controller lease. It
-// serves requests until none is in flight and new ones would be rejected, but at
-// most until graceFraction of the grace time has passed or ctx ends. Then it
-// closes the connections of callers and waits for the entry's goroutines to end.
+// serves requests until none is in flight and new ones would be rejected, and then
+// for up to closePeriod those on connections that it has just accepted, but at most
+// until graceFraction of the grace time has passed or ctx ends. Then it closes the
+// remaining connections and waits for the entry's goroutines to end.
 func (g *Gateway) Shutdown(ctx context.Context) {
 	g.shutdownBeganAt.Store(time.Now().UnixNano())
 	g.stopping.Store(true)
@@ -24,6 +33,7 @@
 	defer cancel()
 	g.control.release(ctx)
 	g.awaitIdle(ctx)
+	g.closeCallers(ctx)
 	g.cancel()
 	for _, s := range g.servers {
 		_ = s.Close()
@@ -32,6 +42,24 @@
 	event.Stopped.Log(g.logger, logrus.Fields{})
 }
 
+// closeCallers accepts no more connections of callers, and waits until the requests
+// on those that it has just accepted are answered. http.Server.Shutdown would drop
+// them.
+func (g *Gateway) closeCallers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, closePeriod)
+	defer cancel()
+	_ = g.callerListener.Close()
+	ticker := time.NewTicker(closeCheckInterval)
+	defer ticker.Stop()
+	for g.callerConns.busy() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // awaitIdle returns when no request is in flight and new ones would be
 // rejected, or when ctx ends.
 func (g *Gateway) awaitIdle(ctx context.Context) {
