Keep orders within the lease of the controller that sends them

Around a hand-over two controllers could give orders at once: a controller began orders down to 0.3 s before its lease ended although one may take 0.7 s to arrive, and a stopping entry released the lease while its orders were on their way, so that the next controller gave its own beside them.

An order now begins only while the lease covers its whole time, and the lease is released after the last order has ended.

--- a/internal/gateway/control_loop.go
+++ b/internal/gateway/control_loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,8 +27,8 @@
 	// orderTimeout limits one order. A server responds within a round trip.
 	orderTimeout = 700 * time.Millisecond
 	// orderMargin is the minimum remaining validity of the lease for sending
-	// orders.
-	orderMargin = 300 * time.Millisecond
+	// orders: an order that is slow to arrive must not outlive the lease.
+	orderMargin = orderTimeout + 100*time.Millisecond
 	// deleteBatch is the number of obsolete group records from which the lease
 	// is renewed early in order to delete them. Fewer wait for the next renewal.
 	// A transaction holds at most 100 rows.
@@ -64,6 +65,8 @@
 	// outcomes passes the outcomes of orders to the loop's goroutine. Only that
 	// goroutine may call a controller.
 	outcomes chan orderOutcome
+	// ordersInFlight counts the orders without an outcome.
+	ordersInFlight sync.WaitGroup
 	// releasing makes the loop release the lease, close released and end.
 	releasing atomic.Bool
 	released  chan struct{}
@@ -223,7 +226,9 @@
 	}
 	controller := cl.controller
 	cl.gateway.metrics.orders.Add(1)
+	cl.ordersInFlight.Add(1)
 	cl.gateway.spawn(func() {
+		defer cl.ordersInFlight.Done()
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
 		started := time.Now()
--- a/internal/gateway/lease.go
+++ b/internal/gateway/lease.go
@@ -172,8 +172,8 @@
 	event.ControllerLeaseLost.Log(cl.gateway.logger, logrus.Fields{"reason": reason})
 }
 
-// release makes the loop release the lease and end, to let another entry acquire
-// the lease at once. It returns when that is done or ctx ends.
+// release makes the loop release the lease once its orders have ended, and end, to
+// let another entry acquire the lease at once. It returns when that is done or ctx ends.
 func (cl *controlLoop) release(ctx context.Context) {
 	cl.releasing.Store(true)
 	cl.wake()
@@ -190,6 +190,8 @@
 		return
 	}
 	cl.controller = nil
+	// The next controller may send orders at once.
+	cl.ordersInFlight.Wait()
 	next, version, open := cl.holder.Closing(newAttemptID())
 	if !open {
 		return
--- a/internal/gateway/lease_test.go
+++ b/internal/gateway/lease_test.go
@@ -1,14 +1,22 @@
 package gateway_test
 
 import (
+	"context"
+	"encoding/json"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hibiscuspulley/hibiscuspulley/internal/formation"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/membership"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/registry"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/standin"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/store"
+	"github.com/hibiscuspulley/hibiscuspulley/pkg/platform"
 )
 
 // holdLease writes a live controller lease of another process.
@@ -44,3 +52,137 @@
 		})
 	}
 }
+
+// lease returns the controller's session.
+func (s *site) lease() membership.Session {
+	row, found := s.store.Get(store.RowKey{Table: "stewards", Partition: "a", Key: "holder"})
+	require.True(s.t, found)
+	decoded, err := membership.Decode(platform.Row{Key: row.Key, Value: row.Value, Version: row.Version})
+	require.NoError(s.t, err)
+	return decoded.Session
+}
+
+// addStaged adds free servers that have the model's weights.
+func (s *site) addStaged(ids ...string) {
+	for _, id := range ids {
+		s.add(id, "notes", "", ok)
+		record, err := json.Marshal(registry.Server{
+			ID: id, StartTime: 1, Service: "notes", Address: s.servers[id].address, Zone: "a", Domain: "d", Staged: []string{"large"},
+		})
+		require.NoError(s.t, err)
+		s.store.Put("servers", id, record)
+	}
+}
+
+// addBrokenGroup adds a recorded group of the servers whose leader is broken. It
+// is ordered to leave until it does.
+func (s *site) addBrokenGroup(ids ...string) {
+	id := registry.GroupID{Name: "g", Epoch: 1}
+	var members []registry.Incarnation
+	for rank, server := range ids {
+		members = append(members, registry.Incarnation{ID: server, StartTime: 1})
+		s.add(server, "notes", "", ok)
+		record, err := json.Marshal(registry.Server{
+			ID: server, StartTime: 1, Service: "notes", Address: s.servers[server].address, Zone: "a", Domain: "d",
+			Member: &registry.Membership{Group: id, Rank: rank, State: registry.Broken, Model: "large"},
+		})
+		require.NoError(s.t, err)
+		s.store.Put("servers", server, record)
+	}
+	_, err := s.store.Client("other").Commit(s.t.Context(), store.Transaction{Puts: []store.Put{{
+		RowKey: store.RowKey{Table: "stewards", Partition: "a", Key: "group/g"},
+		Value:  formation.EncodeGroup(formation.RestoreGroup(id, "large", members, time.Now())),
+	}}})
+	require.NoError(s.t, err)
+}
+
+// slowOrders makes each order take the time and fail, so that it is sent again.
+// It calls onArrival when the time has passed, and counts the orders in progress.
+func (s *site) slowOrders(takes time.Duration, inProgress *atomic.Int64, onArrival func()) {
+	s.carryOut = func(ctx context.Context, _ formation.Order) (formation.Outcome, error) {
+		inProgress.Add(1)
+		defer inProgress.Add(-1)
+		select {
+		case <-time.After(takes):
+			onArrival()
+			return formation.Unknown, nil
+		case <-ctx.Done():
+			return formation.Unknown, ctx.Err()
+		}
+	}
+}
+
+// Guards against two controllers at a hand-over: the lease is released only when
+// the orders of its holder have ended.
+func TestLeaseIsReleasedAfterTheLastOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t)
+		var inProgress atomic.Int64
+		s.slowOrders(600*time.Millisecond, &inProgress, func() {})
+		s.addStaged("f1", "f2")
+		s.start()
+		for range 200 {
+			if inProgress.Load() > 0 {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.Positive(t, inProgress.Load())
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			s.entry.Shutdown(context.Background())
+		}()
+		for range 500 {
+			if s.lease().State != membership.Live {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.NotEqual(t, membership.Live, s.lease().State)
+		require.Zero(t, inProgress.Load())
+		<-stopped
+		for _, srv := range s.servers {
+			srv.stop()
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
+// Guards against orders that reach a server after their sender's lease has ended,
+// when another controller may give its own: the store is away, and orders are slow.
+func TestNoOrderArrivesAfterTheLease(t *testing.T) {
+	const term = 3 * time.Second
+	for offset := range 8 {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSite(t)
+			var inProgress atomic.Int64
+			var ends time.Time
+			orders, late := 0, 0
+			s.slowOrders(600*time.Millisecond, &inProgress, func() {
+				orders++
+				if !ends.IsZero() && time.Now().After(ends) {
+					late++
+				}
+			})
+			s.addBrokenGroup("f1", "f2")
+			s.start()
+			time.Sleep(time.Duration(offset) * time.Second)
+			renewed := s.lease().Counter
+			for range 500 {
+				if s.lease().Counter != renewed {
+					break
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			s.store.SetFaults(standin.StoreFaults{Down: true, Delay: time.Millisecond})
+			ends = time.Now().Add(term)
+			time.Sleep(term + 2*time.Second)
+			require.Positive(t, orders)
+			require.Zero(t, late, offset)
+			s.store.SetFaults(standin.StoreFaults{})
+			s.stop()
+			time.Sleep(time.Minute)
+		})
+	}
+}
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -32,6 +32,8 @@
 	client  *http.Client
 	servers map[string]*server
 	logs    *logLines
+	// carryOut stands in for the servers that get orders.
+	carryOut func(ctx context.Context, o formation.Order) (formation.Outcome, error)
 
 	mu     sync.Mutex
 	config routes.Config
@@ -66,6 +68,7 @@
 func newSite(t *testing.T) *site {
 	s := &site{
 		t: t, network: standin.NewMemory(), store: standin.NewStore(), servers: map[string]*server{}, logs: &logLines{},
+		carryOut: func(context.Context, formation.Order) (formation.Outcome, error) { return formation.Begun, nil },
 		config: routes.Config{
 			Version: 1,
 			Routes: []routes.Route{
@@ -146,8 +149,8 @@
 			srv.ObservedAt = now
 			return &srv, err
 		},
-		SendOrder: func(context.Context, string, formation.Order) (formation.Outcome, error) {
-			return formation.Begun, nil
+		SendOrder: func(ctx context.Context, _ string, o formation.Order) (formation.Outcome, error) {
+			return s.carryOut(ctx, o)
 		},
 		FetchServer: func(ctx context.Context, server registry.Server) (registry.Server, error) {
 			conn, err := s.network.Dialer("a")(ctx, "tcp", server.Address)
