--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -119,6 +120,29 @@
 	}
 }
 
+// Guards against streams that lose their time by moving from one slow but sound
+// server to the next: four events take 6 s, the route allows 8 s.
+func TestSlowStreamsAreNotCut(t *testing.T) {
+	slow := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Receipt", "1")
+		after, _ := strconv.Atoi(r.Header.Get("After")) // absent means from the start
+		for i := after + 1; i <= 4; i++ {
+			time.Sleep(1500 * time.Millisecond)
+			fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", i, i)
+			_ = http.NewResponseController(w).Flush() // fails if the entry has gone
+		}
+	}
+	run(t, func(s *site) {
+		for n := range 4 {
+			s.add(fmt.Sprint("g", n), "notes", "large", slow)
+		}
+	}, func(s *site) {
+		got := s.call(s.t.Context(), http.MethodPost, "/notes/1", "1", map[string]string{"Wait-Ms": "60000"})
+		require.NoError(t, got.err)
+		require.Equal(t, completeStream(4), got.body)
+	})
+}
+
 // The leader crashes in the middle of an event.
 func TestTruncatedStreamResumesElsewhere(t *testing.T) {
 	truncated := func(w http.ResponseWriter, r *http.Request) {
