Never take a late copy of an answer for the next one

A server can send a second copy of an answer late, on a connection that carries the next call. A copy with the ID of its request was skipped already. One without an ID was taken for the next call's: a caller got a 404 that was not its own.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -87,11 +87,11 @@
 const maxMismatches = 2
 
 // Do sends the request and reads the head of its response. matches reports
-// whether a response belongs to this request; up to maxMismatches others are
-// skipped. With fresh set, no idle connection is reused. If Do returns an
+// whether a response belongs to this request, which was sent on a new or a reused
+// connection; up to maxMismatches others are skipped. With fresh set, no idle connection is reused. If Do returns an
 // Exchange, the caller must call its Finish or Abort; until then, the connection
 // is closed when ctx ends. Do itself fails only in the stages Unsent and Sent.
-func (p *Pool) Do(ctx context.Context, server Server, r *Request, matches func(http.Header) bool, fresh bool) (*Exchange, *Failure) {
+func (p *Pool) Do(ctx context.Context, server Server, r *Request, matches func(h http.Header, reused bool) bool, fresh bool) (*Exchange, *Failure) {
 	c, err := p.get(ctx, server, fresh)
 	if err != nil {
 		return nil, &Failure{Stage: Unsent, Fresh: true, Err: err}
@@ -108,7 +108,7 @@
 		x.Abort()
 		return nil, &Failure{Stage: stage, Fresh: isFresh, Err: err}
 	}
-	if err := x.readHead(r.Method, matches); err != nil {
+	if err := x.readHead(r.Method, func(h http.Header) bool { return matches(h, !isFresh) }); err != nil {
 		x.Abort()
 		if ctx.Err() != nil {
 			err = ctx.Err()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -94,8 +94,8 @@
 
 // send forwards the request to the server of the reservation and reads the
 // header of its response. If newConn is set, it opens a new connection. It skips
-// late responses to other requests: those with another request ID, and signed
-// ones without an ID.
+// late responses to other requests: those with another request ID, and those
+// without an ID that are signed or arrive on a reused connection.
 func (g *Gateway) send(ctx context.Context, c *call, res *dispatch.Reservation, lastEventID string, newConn bool) (*backend.Exchange, *backend.Failure) {
 	request := c.request
 	request.Header = maps.Clone(c.request.Header)
@@ -106,9 +106,9 @@
 		f.Organisation = c.organisation.Name
 	}
 	g.platform.Protocol.Forward(request.Header, f)
-	matches := func(h http.Header) bool {
+	matches := func(h http.Header, reused bool) bool {
 		info := g.platform.Protocol.DecodeResponse(h, 0)
-		return info.ID == c.info.ID || (info.ID == "" && !info.Signed)
+		return info.ID == c.info.ID || (info.ID == "" && !info.Signed && !reused)
 	}
 	return g.pool.Do(ctx, g.backendServer(res.Server), &request, matches, newConn)
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -284,6 +284,33 @@
 	})
 }
 
+// A server sends a second copy of an answer, late, when the connection carries the
+// next call. Without an ID the copy belongs to nobody.
+func TestALateCopyIsNotTheNextCallsAnswer(t *testing.T) {
+	run(t, func(s *site) {
+		s.add("d1", "docking", "", func(w http.ResponseWriter, r *http.Request) {
+			conn, buf, err := w.(http.Hijacker).Hijack()
+			require.NoError(t, err)
+			defer conn.Close()
+			late := ""
+			for err == nil {
+				_, _ = fmt.Fprintf(conn, "%sHTTP/1.1 200 OK\r\nId: %s\r\nReceipt: 1\r\nContent-Length: 4\r\n\r\ndone", late, r.Header.Get("Id"))
+				late = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+				if r, err = http.ReadRequest(buf.Reader); err == nil {
+					_, err = io.Copy(io.Discard, r.Body)
+				}
+			}
+		})
+	}, func(s *site) {
+		for n := range 3 {
+			got := s.call(s.t.Context(), http.MethodPost, "/bays/1", fmt.Sprint(n), nil)
+			require.Equal(s.t, http.StatusOK, got.status)
+			require.Equal(s.t, fmt.Sprint(n), got.header.Get("Id"))
+		}
+		time.Sleep(10 * time.Second) // the idle connection expires
+	})
+}
+
 func TestCallEndsAtRouteTimeout(t *testing.T) {
 	slow := func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
 	run(t, func(s *site) { s.add("d1", "docking", "", slow) }, func(s *site) {
