Play a restart during which keys and servers were withdrawn

Looked for after a report from operators of similar systems: a key revoked, a server drained and one crashed while all entries were down. Nothing was used again (passes as it is): entries read keys and servers only from the store, and peers send neither.

--- a/internal/site/restart_test.go
+++ b/internal/site/restart_test.go
@@ -101,3 +101,31 @@
 		require.Empty(t, s.violations())
 	})
 }
+
+// Guards against entries that use again, after a restart, what was withdrawn while
+// they were down: a key, a server that leaves, and one that has left.
+func TestRestartedEntriesUseNothingThatWasWithdrawn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, *seed)
+		defer s.stop()
+		s.run()
+		time.Sleep(3 * time.Second)
+		s.killEntries(true)
+		s.setRevocableKeys()
+		go s.drainServer("d-a-0", 20*time.Second)
+		s.crash("d-b-0", false)
+		time.Sleep(5 * time.Second)
+		s.startEntries()
+		began := time.Now()
+		time.Sleep(12 * time.Second)
+		from := began.Add(recoveryBound / 2)
+		share, failures := s.callers.servedShare(from, from.Add(3*time.Second), func(r result) bool { return r.organisation != revocableOrganisation })
+		revoked, _ := s.callers.servedShare(from, from.Add(3*time.Second), func(r result) bool {
+			return r.organisation == revocableOrganisation && r.path != "/bays/1"
+		})
+		s.stop()
+		require.Empty(t, s.violations())
+		require.Zero(t, revoked)
+		require.GreaterOrEqual(t, share, minServedShare, failures)
+	})
+}
