Let the work of a server without a record end if it answers

A server that was only cut off from the store for some seconds had the work of its group given up: when its record expired, the group's leader was ordered to leave at once, which cut all its streams; they were started again elsewhere. The server was running all the while, as its answers to probes would have shown.

The missing member is now probed first. If it answers, the group is closed: it gets no new requests, and what runs ends there within the drain timeout.

--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -51,6 +51,9 @@
 	// Refused reports that the connection was refused: no process listens at the
 	// address any more.
 	Refused bool
+	// Answered reports that the last probe was answered, or that a peer's requests
+	// make progress on the server.
+	Answered bool
 }
 
 // Controller decides about the groups of one zone. It is not safe for
--- a/internal/formation/group.go
+++ b/internal/formation/group.go
@@ -52,6 +52,9 @@
 	// openOrderedAt is when an open was last ordered. For a restored group it is
 	// the time of the restore, because the earlier controller may have ordered one.
 	openOrderedAt time.Time
+	// missingSince is when a member was first seen without a record. It is zero
+	// while all members have one.
+	missingSince time.Time
 	// Reason is why the group last changed its phase, for example why it ends.
 	Reason string
 }
--- a/internal/formation/reconcile.go
+++ b/internal/formation/reconcile.go
@@ -33,10 +33,16 @@
 	graceful bool
 }
 
-// findEndCause returns the reason why the group must end, or nil. If the reason
-// is a member without a record, it adds that member to the servers to probe.
+// findEndCause returns the reason why the group must end, or nil. It adds a member
+// without a record to the servers to probe.
 func findEndCause(g *Group, now time.Time, v *registry.View, probe func(string) ProbeResult, d *Decision) *endCause {
 	var found *endCause
+	missing := false
+	defer func() {
+		if !missing {
+			g.missingSince = time.Time{}
+		}
+	}()
 	for _, m := range g.Members {
 		srv := v.Servers[m.ID]
 		status := statusOf(g, m, srv)
@@ -44,8 +50,13 @@
 		switch {
 		case status == memberMissing && g.mayReregister(m, now, v):
 		case status == memberMissing:
+			missing = true
 			d.ServersToProbe = append(d.ServersToProbe, m.ID)
-			return &endCause{reason: "member " + m.ID + " has no server record"}
+			if cause := g.missingCause(m, p, now); cause != nil && !cause.graceful {
+				return cause
+			} else if cause != nil {
+				found = cause
+			}
 		case status == memberRestarted:
 			return &endCause{reason: "member " + m.ID + " restarted"}
 		case status == memberOutside && g.hasJoined[m]:
@@ -59,6 +70,24 @@
 	return found
 }
 
+// missingCause returns the reason to end a group one of whose members has no
+// record, or nil as long as the member's probe is under way. A member that answers
+// is only cut off from the store or leaves without notice. It must get no new work,
+// but what runs can end.
+func (g *Group) missingCause(m registry.Incarnation, p ProbeResult, now time.Time) *endCause {
+	if g.missingSince.IsZero() {
+		g.missingSince = now
+	}
+	gone := p.Refused || !p.FailingSince.IsZero()
+	if g.Phase < Serving || (!gone && !p.Answered && now.Sub(g.missingSince) >= memberTimeout) {
+		gone = true
+	}
+	if !gone && !p.Answered {
+		return nil
+	}
+	return &endCause{reason: "member " + m.ID + " has no server record", graceful: !gone}
+}
+
 // mayReregister reports whether a missing member may still write its record
 // after the group was restored. It applies for reregisterGrace, and only if this
 // process has not seen the member's record disappear. A forming group with
@@ -140,13 +169,13 @@
 	if model, found := e.Model(g.Model); cause == nil && found && len(g.Members) != model.GroupSize {
 		cause = &endCause{reason: "its member count differs from the model's group size"}
 	}
-	if cause == nil && leader.Member != nil && leader.Member.State == registry.Broken {
+	if cause == nil && leader != nil && leader.Member != nil && leader.Member.State == registry.Broken {
 		cause = &endCause{reason: "its leader reports the group as broken"}
 	}
 	switch {
 	case cause == nil:
 		// A ready leader has not carried out the open order yet; it is sent again.
-		if leader.Member != nil && leader.Member.State == registry.Ready && g.allReady(v) {
+		if leader != nil && leader.Member != nil && leader.Member.State == registry.Ready && g.allReady(v) {
 			c.orderOpen(g, now, d)
 		}
 	case cause.graceful:
@@ -175,6 +204,9 @@
 		c.transition(g, Ended, now, "its leader has left", d)
 	case memberMissing:
 		d.ServersToProbe = append(d.ServersToProbe, m.ID)
+		if g.Phase == Draining && probe(m.ID).Answered && now.Sub(g.Since) <= drainTimeout {
+			return // its requests are still in progress
+		}
 		c.orderMembersToLeave(g, now, v, d)
 		if c.leaderStopped(g, now, probe) {
 			c.transition(g, Ended, now, "its leader has no record and must have stopped", d)
--- a/internal/gateway/prober.go
+++ b/internal/gateway/prober.go
@@ -52,15 +52,17 @@
 	return &prober{gateway: g, states: make(map[string]*probeState)}
 }
 
-// result returns the result of the probes of a server. It is empty if the server
-// is not probed, if its last probe succeeded, or while a peer observes progress
-// on the server.
+// result returns the result of the probes of a server. It is empty if no probe has
+// ended. A server counts as answering while a peer observes progress on it.
 func (p *prober) result(id string) formation.ProbeResult {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.states[id]
-	if s == nil || (!s.FailingSince.IsZero() && p.gateway.peers.hasProgress(id)) {
+	switch {
+	case s == nil:
 		return formation.ProbeResult{}
+	case !s.FailingSince.IsZero() && p.gateway.peers.hasProgress(id):
+		return formation.ProbeResult{Answered: true}
 	}
 	return s.ProbeResult
 }
@@ -127,12 +129,13 @@
 		if !s.FailingSince.IsZero() {
 			event.ServerResponsive.Log(p.gateway.logger, logrus.Fields{"server": id, "silent-ms": now.Sub(s.FailingSince).Milliseconds()})
 		}
-		s.ProbeResult = formation.ProbeResult{}
+		s.ProbeResult = formation.ProbeResult{Answered: true}
 		return
 	}
 	if s.FailingSince.IsZero() {
 		s.FailingSince = s.sentAt
 		event.ServerUnresponsive.Log(p.gateway.logger, logrus.Fields{"server": id, "address": address, "error": err})
 	}
+	s.Answered = false
 	s.Refused = errors.Is(err, syscall.ECONNREFUSED)
 }
--- a/internal/site/checker_test.go
+++ b/internal/site/checker_test.go
@@ -111,6 +111,17 @@
 	return lockedWriter{c, c.logs[endpoint]}
 }
 
+// countLogged returns how often the entries logged the event.
+func (c *checker) countLogged(number int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, buf := range c.logs {
+		n += bytes.Count(buf.Bytes(), fmt.Appendf(nil, `"event":%d,`, number))
+	}
+	return n
+}
+
 // setSince stores the current time under the key if holds is set, and deletes
 // the key otherwise.
 func setSince(m map[string]time.Time, key string, holds bool) {
--- a/internal/site/restart_test.go
+++ b/internal/site/restart_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hibiscuspulley/hibiscuspulley/internal/event"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/registry"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/standin"
 )
 
@@ -129,3 +131,31 @@
 		require.GreaterOrEqual(t, share, minServedShare, failures)
 	})
 }
+
+// Guards against giving up running work of a server that is only cut off from the
+// store: when its record expires its group takes no more requests, and the streams
+// in progress end where they are.
+func TestStreamsOutliveAMemberThatIsOnlyCutOffFromTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, *seed)
+		defer s.stop()
+		s.run()
+		time.Sleep(3 * time.Second)
+		s.mu.Lock()
+		var member string
+		for _, id := range s.hosts.IDs() {
+			if m := s.hosts.ByID[id].Member; m != nil && m.Model == "large" && m.Members[0] != id && m.State == registry.Ready {
+				member = id
+				break
+			}
+		}
+		s.mu.Unlock()
+		require.NotEmpty(t, member)
+		s.setFaults(member, serverFaults{cut: true})
+		time.Sleep(15 * time.Second)
+		s.setFaults(member, serverFaults{})
+		s.stop()
+		require.Empty(t, s.violations())
+		require.Zero(t, s.checker.countLogged(event.StreamResumed.Number))
+	})
+}
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -56,6 +56,9 @@
 	// OrderCount counts the orders that this incarnation has begun.
 	OrderCount int64
 	Member     *HostMembership
+	// InProgress is the number of requests in progress. A closing leader is ready
+	// again once there are none.
+	InProgress int
 
 	// lastModel is the model that was loaded last, lastEpoch the group epoch of
 	// the latest join. Joins with a lower epoch are outdated.
@@ -94,6 +97,9 @@
 		m.openAt, m.State = time.Time{}, registry.Open
 		opened = true
 	}
+	if m.State == registry.Closing && h.InProgress == 0 {
+		m.State = registry.Ready
+	}
 	return ready, opened
 }
 
@@ -119,7 +125,9 @@
 		if !member {
 			return formation.Conflict
 		}
-		h.Member.State, h.Member.openAt = registry.Ready, time.Time{}
+		if h.Member.openAt = (time.Time{}); h.Member.State == registry.Open {
+			h.Member.State = registry.Closing
+		}
 	case formation.Leave:
 		if !member {
 			return formation.Done
