Decide about crashing parts while a write to the store is pending

Read in the change: decisions and writes shared a loop, so that a store that does not respond would delay a quarantine by 1.2 s a write. They run apart now. TestPartsAreHeldBackWhileTheStoreIsSilent plays it and passed before as well: two writes delay less than its bound of 3 s.

--- a/internal/formation/replaced_test.go
+++ b/internal/formation/member_lost_test.go
@@ -12,6 +12,21 @@
 	"github.com/hibiscuspulley/hibiscuspulley/internal/routes"
 )
 
+// openGroup returns the members of an open group of three and a view of them.
+func openGroup(id registry.GroupID) ([]registry.Incarnation, *registry.View) {
+	var members []registry.Incarnation
+	v := &registry.View{Version: 1, Servers: map[string]*registry.Server{}, RemovedAt: map[string]time.Time{}, Removed: map[string]*registry.Server{}}
+	for rank, name := range []string{"s0", "s1", "s2"} {
+		members = append(members, registry.Incarnation{ID: name, StartTime: 1})
+		v.Servers[name] = &registry.Server{
+			ID: name, StartTime: 1, Service: service, Zone: zone, Address: "10.0.0." + name, Domain: "d", Staged: []string{"large"},
+			Member: &registry.Membership{Group: id, Rank: rank, State: registry.Ready, Model: "large"},
+		}
+	}
+	v.Servers["s0"].Member.State = registry.Open
+	return members, v
+}
+
 // Guards against giving up the running work of a server that is only cut off from
 // the store: its record is gone, but it answers. The group takes no more requests,
 // and its leader is ordered to leave only when it is ready again. A member that does
@@ -21,17 +36,8 @@
 	id := registry.GroupID{Name: "g", Epoch: 1}
 	start := time.Unix(1000, 0)
 	for _, answers := range []bool{true, false} {
-		var members []registry.Incarnation
-		view := &registry.View{Version: 1, Servers: map[string]*registry.Server{}, RemovedAt: map[string]time.Time{}, Removed: map[string]*registry.Server{}}
-		for rank, name := range []string{"s0", "s1", "s2"} {
-			members = append(members, registry.Incarnation{ID: name, StartTime: 1})
-			view.Servers[name] = &registry.Server{
-				ID: name, StartTime: 1, Service: service, Zone: zone, Address: "10.0.0." + name, Domain: "d", Staged: []string{"large"},
-				Member: &registry.Membership{Group: id, Rank: rank, State: registry.Ready, Model: "large"},
-			}
-		}
+		members, view := openGroup(id)
 		leader := view.Servers["s0"]
-		leader.Member.State = registry.Open
 		c := formation.NewController(zone, []string{zone}, 1, brokenAfter, []*formation.Group{formation.RestoreGroup(id, "large", members, start)})
 		probes := map[string]formation.ProbeResult{}
 		step := func(at time.Duration) []formation.Order {
@@ -70,16 +76,7 @@
 	id := registry.GroupID{Name: "g", Epoch: 1}
 	start := time.Unix(1000, 0)
 	for _, replaced := range []bool{true, false} {
-		var members []registry.Incarnation
-		view := &registry.View{Version: 1, Servers: map[string]*registry.Server{}, RemovedAt: map[string]time.Time{}, Removed: map[string]*registry.Server{}}
-		for rank, name := range []string{"s0", "s1", "s2"} {
-			members = append(members, registry.Incarnation{ID: name, StartTime: 1})
-			view.Servers[name] = &registry.Server{
-				ID: name, StartTime: 1, Service: service, Zone: zone, Address: "10.0.0." + name, Domain: "d", Staged: []string{"large"},
-				Member: &registry.Membership{Group: id, Rank: rank, State: registry.Ready, Model: "large"},
-			}
-		}
-		view.Servers["s0"].Member.State = registry.Open
+		members, view := openGroup(id)
 		c := formation.NewController(zone, []string{zone}, 1, brokenAfter, []*formation.Group{formation.RestoreGroup(id, "large", members, start)})
 		probes := map[string]formation.ProbeResult{}
 		step := func(at time.Duration) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -175,7 +175,8 @@
 	g.spawn(func() { g.peers.run(ctx) })
 	g.spawn(func() { g.sweep(ctx) })
 	g.spawn(func() { g.isolation.follow(ctx) })
-	g.spawn(func() { g.isolation.run(ctx) })
+	g.spawn(func() { g.isolation.decide(ctx) })
+	g.spawn(func() { g.isolation.record(ctx) })
 	return g, nil
 }
 
@@ -273,16 +274,7 @@
 }
 
 func (g *Gateway) sweep(ctx context.Context) {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			g.pool.CloseExpired()
-		}
-	}
+	every(ctx, sweepInterval, g.pool.CloseExpired)
 }
 
 // lastAddress returns the last known address of a server whose record was
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -94,21 +94,35 @@
 	return decoded
 }
 
-// run decides and writes until ctx ends.
-func (i *isolation) run(ctx context.Context) {
-	ticker := time.NewTicker(quarantineStepInterval)
+// decide makes the decisions that are due until ctx ends.
+func (i *isolation) decide(ctx context.Context) {
+	every(ctx, quarantineStepInterval, func() {
+		for _, change := range i.tracker.Step(time.Now()) {
+			i.log(change)
+		}
+	})
+}
+
+// record makes the writes that are due until ctx ends. A store that does not
+// respond delays it, but no decision.
+func (i *isolation) record(ctx context.Context) {
+	every(ctx, quarantineStepInterval, func() {
+		for _, w := range i.tracker.Writes(time.Now()) {
+			i.write(ctx, w)
+		}
+	})
+}
+
+// every calls f at each interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func()) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		}
-		for _, change := range i.tracker.Step(time.Now()) {
-			i.log(change)
-		}
-		for _, w := range i.tracker.Writes(time.Now()) {
-			i.write(ctx, w)
+			f()
 		}
 	}
 }
--- a/internal/site/deadly_test.go
+++ b/internal/site/deadly_test.go
@@ -225,6 +225,18 @@
 	}, "deadly-1")
 }
 
+// Guards against decisions that wait for a store that does not respond: two parts
+// are held back while it is silent.
+func TestPartsAreHeldBackWhileTheStoreIsSilent(t *testing.T) {
+	t.Parallel()
+	playDeadly(t, func(s *site) {
+		time.Sleep(200 * time.Millisecond)
+		s.setStoreFaults(standin.StoreFaults{Unresponsive: true})
+		time.Sleep(15 * time.Second)
+		s.setStoreFaults(standin.StoreFaults{})
+	}, "deadly-1", "deadly-2")
+}
+
 // Guards against sharing what is known about a part between entries alone: the
 // two zones are cut off from each other, and both reach the store.
 func TestPartIsHeldBackInZonesThatAreCutOff(t *testing.T) {
