Read a rejection without an ID on a reused connection

The request waited 0.6 s for an answer that had come.

A rejection (not run, or the wrong server) counts without an ID too: the request is only sent elsewhere. Other answers without one are still skipped.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -91,7 +91,7 @@
 // connection; up to maxMismatches others are skipped. With fresh set, no idle connection is reused. If Do returns an
 // Exchange, the caller must call its Finish or Abort; until then, the connection
 // is closed when ctx ends. Do itself fails only in the stages Unsent and Sent.
-func (p *Pool) Do(ctx context.Context, server Server, r *Request, matches func(h http.Header, reused bool) bool, fresh bool) (*Exchange, *Failure) {
+func (p *Pool) Do(ctx context.Context, server Server, r *Request, matches func(resp *http.Response, reused bool) bool, fresh bool) (*Exchange, *Failure) {
 	c, err := p.get(ctx, server, fresh)
 	if err != nil {
 		return nil, &Failure{Stage: Unsent, Fresh: true, Err: err}
@@ -108,7 +108,7 @@
 		x.Abort()
 		return nil, &Failure{Stage: stage, Fresh: isFresh, Err: err}
 	}
-	if err := x.readHead(r.Method, func(h http.Header) bool { return matches(h, !isFresh) }); err != nil {
+	if err := x.readHead(r.Method, func(resp *http.Response) bool { return matches(resp, !isFresh) }); err != nil {
 		x.Abort()
 		if ctx.Err() != nil {
 			err = ctx.Err()
@@ -119,7 +119,7 @@
 }
 
 // readHead reads responses until one matches, and sets Response and body.
-func (x *Exchange) readHead(method string, matches func(http.Header) bool) error {
+func (x *Exchange) readHead(method string, matches func(*http.Response) bool) error {
 	x.conn.limit.set(maxHeadBytes)
 	defer x.conn.limit.clear()
 	for range maxMismatches + 1 {
@@ -130,7 +130,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue // an interim response such as 100 Continue
 		}
-		if matches(resp.Header) {
+		if matches(resp) {
 			x.Response, x.body = resp, resp.Body
 			return nil
 		}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -95,7 +95,8 @@
 // send forwards the request to the server of the reservation and reads the
 // header of its response. If newConn is set, it opens a new connection. It skips
 // late responses to other requests: those with another request ID, and those
-// without an ID that are signed or arrive on a reused connection.
+// without an ID that are signed, or that arrive on a reused connection and are no
+// rejections.
 func (g *Gateway) send(ctx context.Context, c *call, res *dispatch.Reservation, lastEventID string, newConn bool) (*backend.Exchange, *backend.Failure) {
 	request := c.request
 	request.Header = maps.Clone(c.request.Header)
@@ -106,9 +107,9 @@
 		f.Organisation = c.organisation.Name
 	}
 	g.platform.Protocol.Forward(request.Header, f)
-	matches := func(h http.Header, reused bool) bool {
-		info := g.platform.Protocol.DecodeResponse(h, 0)
-		return info.ID == c.info.ID || (info.ID == "" && !info.Signed && !reused)
+	matches := func(resp *http.Response, reused bool) bool {
+		info := g.platform.Protocol.DecodeResponse(resp.Header, resp.StatusCode)
+		return info.ID == c.info.ID || (info.ID == "" && !info.Signed && (!reused || info.NotRun))
 	}
 	return g.pool.Do(ctx, g.backendServer(res.Server), &request, matches, newConn)
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -179,6 +179,51 @@
 	})
 }
 
+// untilClose returns a handler that sends the text with neither a length nor
+// chunks, and ends it by closing the connection.
+func untilClose(text string) func(http.ResponseWriter, *http.Request) {
+	return func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nReceipt: 1\r\n\r\n%s", r.Header.Get("Id"), text) // the test checks the received bytes
+	}
+}
+
+// A stream may end with its connection. Inside an event it has been broken off, and
+// after one it is complete.
+func TestAStreamThatEndsWithItsConnection(t *testing.T) {
+	for name, text := range map[string]string{
+		"complete":        completeStream(5),
+		"inside an event": completeStream(2) + "id: 3\nda",
+		"after a line":    completeStream(2) + "id: 3\ndata: event 3\n",
+		"before events":   "id",
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(s *site) { s.add("g1", "notes", "large", untilClose(text)) }, func(s *site) {
+				go func() {
+					time.Sleep(50 * time.Millisecond)
+					s.add("g2", "notes", "large", events(5, nil))
+				}()
+				got := s.call(s.t.Context(), http.MethodPost, "/notes/1", "1", nil)
+				require.NoError(t, got.err)
+				require.Equal(t, completeStream(5), got.body)
+			})
+		})
+	}
+}
+
+// A plain answer may end with its connection too, and is then whole.
+func TestAnAnswerThatEndsWithItsConnection(t *testing.T) {
+	run(t, func(s *site) { s.add("d1", "docking", "", untilClose("done")) }, func(s *site) {
+		got := s.call(s.t.Context(), http.MethodPost, "/dock/1", "1", nil)
+		require.Equal(t, http.StatusOK, got.status)
+		require.Equal(t, "done", got.body)
+	})
+}
+
 // There is no other server to resume on: the stream must end with an error
 // instead of looking complete.
 func TestAStreamThatCannotResumeEndsWithAnError(t *testing.T) {
@@ -311,6 +356,42 @@
 	})
 }
 
+// A server that rejects a call without an ID, on a connection that was used before,
+// must not hold it up: the call goes to another server at once.
+func TestARejectionWithoutIDIsReadAtOnce(t *testing.T) {
+	for name, reject := range map[string]func(http.ResponseWriter){
+		"full": func(w http.ResponseWriter) {
+			w.Header().Set("Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		},
+		"another": func(w http.ResponseWriter) { w.WriteHeader(http.StatusMisdirectedRequest) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var calls atomic.Int64
+			run(t, func(s *site) {
+				s.add("d1", "docking", "", func(w http.ResponseWriter, r *http.Request) {
+					if calls.Add(1) == 1 {
+						ok(w, r)
+						return
+					}
+					w.Header().Del("Id")
+					reject(w)
+				})
+			}, func(s *site) {
+				require.Equal(t, http.StatusOK, s.call(s.t.Context(), http.MethodPost, "/bays/1", "1", nil).status)
+				s.add("d2", "docking", "", ok)
+				time.Sleep(time.Second)
+				began := time.Now()
+				for n := range 4 {
+					require.Equal(t, http.StatusOK, s.call(s.t.Context(), http.MethodPost, "/bays/1", fmt.Sprint("r", n), nil).status)
+				}
+				require.Less(t, time.Since(began), 100*time.Millisecond)
+				require.Greater(t, calls.Load(), int64(1))
+			})
+		})
+	}
+}
+
 func TestCallEndsAtRouteTimeout(t *testing.T) {
 	slow := func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
 	run(t, func(s *site) { s.add("d1", "docking", "", slow) }, func(s *site) {
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -65,8 +65,7 @@
 	DecodeRequest func(h http.Header) RequestInfo
 	// Forward changes the headers of a caller's request in place.
 	Forward func(h http.Header, f ForwardInfo)
-	// DecodeResponse decodes a response with the status. The gateway passes
-	// status 0 when it only needs the ID and the signature.
+	// DecodeResponse decodes a response with the status.
 	DecodeResponse func(h http.Header, status int) ResponseInfo
 }
 
