Follow a changed row when a part is released

An entry that released a part while another one changed its row gave up the deletion at the first conflict: the row stayed, and the entries disagreed about the part until its next change, some rejecting its requests and some not. The deletion now goes on with the version that the feed brings, until the row is gone.

Found reading the change. TestReleaseFollowsAChangedRow failed before.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -156,8 +156,7 @@
 	}
 	version, err := i.gateway.platform.Store.Commit(ctx, tx)
 	if errors.Is(err, store.ErrConflict) {
-		i.health.record(nil)
-		i.tracker.HandleConflict(w)
+		i.health.record(nil) // the feed brings the row's new version
 		return
 	}
 	i.health.record(err)
--- a/internal/quarantine/store.go
+++ b/internal/quarantine/store.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Write is a change of a part's row in the store, on the condition that the row
 // has the version; 0 means that it must not exist.
@@ -23,7 +26,8 @@
 }
 
 // Writes returns the writes that are due. Each is returned again after
-// commitInterval until HandleWritten or ApplyRows shows that it is done.
+// commitInterval until HandleWritten or ApplyRows shows that it is done. The latter
+// also brings the row's version after a write whose condition was not met.
 func (t *Tracker) Writes(now time.Time) []Write {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -77,16 +81,6 @@
 	}
 }
 
-// HandleConflict processes a write whose condition was not met. A row that was to
-// be deleted has changed or is gone, and what it says now arrives with ApplyRows.
-func (t *Tracker) HandleConflict(w Write) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if w.Delete {
-		delete(t.released, w.Part)
-	}
-}
-
 // ApplyRows applies rows read from the store. If full is set, they are the whole
 // table. A part whose row was deleted is released: another entry has seen a
 // success with it, or an operator cleared it.
@@ -100,6 +94,8 @@
 		switch {
 		case !row.Deleted:
 			t.applyRow(now, row)
+		case t.released[row.Part] != nil:
+			delete(t.released, row.Part)
 		case q != nil && q.version != 0 && q.version < row.Version:
 			t.rowDeleted(now, q)
 		}
@@ -107,6 +103,7 @@
 	if !full {
 		return
 	}
+	maps.DeleteFunc(t.released, func(part string, _ *release) bool { return !listed[part] })
 	for part, q := range t.quarantined {
 		if q.version != 0 && !listed[part] {
 			t.rowDeleted(now, q)
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -191,7 +191,6 @@
 	claims := tracker.Writes(now.Add(31 * time.Second))
 	require.Len(t, claims, 1)
 	require.EqualValues(t, 7, claims[0].Version)
-	tracker.HandleConflict(claims[0])
 	require.True(t, judge(31*time.Second).Held, "another entry has claimed the trial")
 	claims = tracker.Writes(now.Add(33 * time.Second))
 	tracker.HandleWritten(now.Add(33*time.Second), claims[0], 8)
@@ -231,6 +230,23 @@
 	require.Empty(t, tracker.Writes(now.Add(time.Minute)))
 }
 
+// A part is released here while another entry claims its trial. The deletion must
+// follow the row's new version, or the two entries disagree from then on.
+func TestReleaseFollowsAChangedRow(t *testing.T) {
+	tracker, now := quarantined(t, "mended")
+	tracker.HandleWritten(now, tracker.Writes(now)[0], 7)
+	now = now.Add(40 * time.Second)
+	tracker.RecordSuccess(now, []string{"mended"})
+	deletion := tracker.Writes(now)
+	require.Len(t, deletion, 1)
+	tracker.ApplyRows(now, []quarantine.Row{{Part: "mended", Version: 9, Record: quarantine.Record{Part: "mended", Trials: 1}}}, false)
+	require.False(t, tracker.Held([]string{"mended"}))
+	now = now.Add(time.Second)
+	require.Equal(t, []quarantine.Write{{Part: "mended", Version: 9, Delete: true}}, tracker.Writes(now))
+	tracker.ApplyRows(now, []quarantine.Row{{Part: "mended", Version: 11, Deleted: true}}, false)
+	require.Empty(t, tracker.Writes(now.Add(time.Minute)))
+}
+
 // A restarted entry reads the quarantine from the store, and learns of a deletion
 // that it missed from the next read of the whole table.
 func TestQuarantineIsReadFromTheStore(t *testing.T) {
