--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -15,6 +15,7 @@
 	"github.com/hibiscuspulley/hibiscuspulley/internal/command/group"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/command/instance"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/command/organisation"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/command/quarantine"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/command/report"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/command/serve"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/command/service"
@@ -41,6 +42,7 @@
 	zone.New(app, f)
 	instance.New(app, f)
 	config.New(app, f)
+	quarantine.New(app, f)
 	status.New(app, f)
 	report.New(app, f)
 	demo.New(app, f)
