Plan the first groups once the servers have registered

The first groups were planned as soon as no server had registered for 0.4 s.

Now 1 s of quiet is needed, about a heartbeat interval, but at most 5 s since the first server.

--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -79,10 +79,11 @@
 	// bootstrapping reports that no request has arrived yet since the first start
 	// of the fleet.
 	bootstrapping bool
-	// seen holds the incarnations observed while bootstrapping, and lastSeenAt is
-	// when the last of them appeared.
-	seen       map[registry.Incarnation]bool
-	lastSeenAt time.Time
+	// seen holds the incarnations observed while bootstrapping, firstSeenAt and
+	// lastSeenAt are when the first and the last of them appeared.
+	seen        map[registry.Incarnation]bool
+	firstSeenAt time.Time
+	lastSeenAt  time.Time
 }
 
 type orderKey struct {
@@ -284,10 +285,16 @@
 	d.Orders = append(d.Orders, o)
 }
 
-// registrationQuietPeriod is how long no new server may have registered before
-// groups are planned at the first start of the fleet. If only half of the servers
-// were known, groups and spares would be spread unevenly across domains.
-const registrationQuietPeriod = 400 * time.Millisecond
+const (
+	// registrationQuietPeriod is how long no new server may have registered before
+	// groups are planned at the first start of the fleet. If only a part of the
+	// servers were known, groups and spares would be spread unevenly across
+	// domains. Servers register within about one heartbeat interval.
+	registrationQuietPeriod = time.Second
+	// maxRegistration is how long after the first server registered the groups are
+	// planned at the latest.
+	maxRegistration = 5 * time.Second
+)
 
 // registering reports whether the fleet is starting and its servers are still
 // registering.
@@ -299,9 +306,12 @@
 		if srv.Zone == c.zone && srv.Service == service && !c.seen[srv.Incarnation()] {
 			c.seen[srv.Incarnation()] = true
 			c.lastSeenAt = now
+			if c.firstSeenAt.IsZero() {
+				c.firstSeenAt = now
+			}
 		}
 	}
-	return now.Sub(c.lastSeenAt) < registrationQuietPeriod
+	return now.Sub(c.lastSeenAt) < registrationQuietPeriod && now.Sub(c.firstSeenAt) < maxRegistration
 }
 
 func (c *Controller) nextID() registry.GroupID {
--- a/internal/formation/property_test.go
+++ b/internal/formation/property_test.go
@@ -63,6 +63,12 @@
 	w := newSimulation(20)
 	w.controller.SetBootstrapping(true)
 	w.run(10*time.Second, noDelay)
+	requireSpread(t, w, map[string]int{"large": 1, "small": 2}, map[string]int{"large": 1, "small": 1})
+}
+
+// requireSpread checks the open groups and the spares of each domain, by model.
+func requireSpread(t *testing.T, w *simulation, wantGroups, wantSpares map[string]int) {
+	t.Helper()
 	for _, domain := range []string{"d0", "d1"} {
 		groups, spares := map[string]int{}, map[string]int{}
 		for _, h := range w.hosts {
@@ -74,8 +80,8 @@
 				groups[h.Member.Model]++
 			}
 		}
-		require.Equal(t, map[string]int{"large": 1, "small": 2}, groups, domain)
-		require.Equal(t, map[string]int{"large": 1, "small": 1}, spares, domain)
+		require.Equal(t, wantGroups, groups, domain)
+		require.Equal(t, wantSpares, spares, domain)
 	}
 }
 
