Free the members of a lost leader sooner after a change of the controller

A new controller took every recorded group for one whose open order may still arrive, 12 s after its start at the latest, also if the leader was open already.

An open order that arrives late has no effect on a leader that is open. It can only have one after a close, so the wait remains for leaders that this controller did not see open or ordered to close.

TestMembersOfALostLeaderAreSoonFreeAfterAChangeOfTheController failed before.

--- a/internal/formation/group.go
+++ b/internal/formation/group.go
@@ -52,6 +52,11 @@
 	// openOrderedAt is when an open was last ordered. For a restored group it is
 	// the time of the restore, because the earlier controller may have ordered one.
 	openOrderedAt time.Time
+	// openSeen reports that the leader was seen open before this controller
+	// ordered it to close. Without a close, an open order that arrives late has no
+	// effect on it. closeOrdered reports that a close was ordered.
+	openSeen     bool
+	closeOrdered bool
 	// missingSince is when a member was first seen without a record. It is zero
 	// while all members have one.
 	missingSince time.Time
--- a/internal/formation/reconcile.go
+++ b/internal/formation/reconcile.go
@@ -13,6 +13,7 @@
 		srv := v.Servers[m.ID]
 		if statusOf(g, m, srv) == memberInGroup && srv.Member.State != registry.Joining {
 			g.hasJoined[m] = true
+			g.openSeen = g.openSeen || (!g.closeOrdered && m == g.leader() && srv.Member.State == registry.Open)
 		}
 	}
 	switch g.Phase {
@@ -223,6 +224,7 @@
 		} else if leader.Member.State == registry.Ready || now.Sub(g.Since) > drainTimeout {
 			c.transition(g, Ending, now, "its requests finished or the drain timed out", d)
 		} else {
+			g.openSeen, g.closeOrdered = false, true
 			c.issueOrder(now, g.leader(), Order{Operation: Close, Group: g.ID}, d)
 			return
 		}
@@ -266,10 +268,10 @@
 	if g.incompleteSince.IsZero() {
 		return false
 	}
-	// The leader may carry out an open order up to maxOrderDelay after it was
-	// sent, and notices the missing member only then.
+	// A leader that was not seen open may carry out an open order up to
+	// maxOrderDelay after it was sent, and notices the missing member only then.
 	stalledSince := g.incompleteSince
-	if latest := g.openOrderedAt.Add(maxOrderDelay); latest.After(stalledSince) {
+	if latest := g.openOrderedAt.Add(maxOrderDelay); !g.openSeen && latest.After(stalledSince) {
 		stalledSince = latest
 	}
 	return now.Sub(stalledSince) >= c.brokenAfter+brokenMargin
