Load the weights that the survivors of a lost group need

While a group ended, its model did not count as short, since its members would be free with their weights. But the group had lost a member: without a spare, its survivors need one server more.

A group that ends now counts as missing, and its survivors as servers with weights.

--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -27,14 +27,34 @@
 	for c.formNextGroup(now, free, targets, existing, e, d) {
 		continue
 	}
-	// No weights are staged to replace a draining or ending group: its remaining
-	// members will soon be free, with their weights already loaded.
-	for _, g := range c.groups {
-		if g.Phase == Draining || g.Phase == Ending {
-			existing[g.Model]++
+	c.stageWeights(now, v, free, c.survivors(v, probe), missingGroups(targets, existing), e, d)
+}
+
+// modelDomain identifies the servers of a fabric domain that hold a model's weights.
+type modelDomain struct{ model, domain string }
+
+// survivors returns the members of draining and ending groups that still run. They
+// will soon be free with their weights loaded, so only the members that their group
+// lost need weights for a new one.
+func (c *Controller) survivors(v *registry.View, probe func(string) ProbeResult) map[modelDomain][]*registry.Server {
+	list := make(map[modelDomain][]*registry.Server)
+	for _, g := range c.Groups() {
+		if g.Phase != Draining && g.Phase != Ending {
+			continue
+		}
+		for _, m := range g.Members {
+			srv := v.Servers[m.ID]
+			if srv == nil || srv.StartTime != m.StartTime || srv.Leaving || joinCost(srv, g.Model) >= coldJoinCost {
+				continue
+			}
+			if p := probe(m.ID); p.Refused || !p.FailingSince.IsZero() {
+				continue
+			}
+			key := modelDomain{g.Model, srv.Domain}
+			list[key] = append(list[key], srv)
 		}
 	}
-	c.stageWeights(now, v, free, missingGroups(targets, existing), e, d)
+	return list
 }
 
 // missingGroups returns how many more groups of each model the zone needs.
--- a/internal/formation/repair_test.go
+++ b/internal/formation/repair_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hibiscuspulley/hibiscuspulley/internal/formation"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/registry"
 )
 
 // largeGroup returns the recorded group of the model "large" in a domain.
@@ -38,3 +39,30 @@
 	require.NotContains(t, w.records, g.ID, strings.Join(w.trace, "\n"))
 	require.Empty(t, w.servers.Violations)
 }
+
+// Guards against a load that does not help: a group has lost its leader and its
+// domain's spare is used up. While its three survivors wait, one of the domain's
+// free servers must load the model that they need one more server for, although
+// that model has no running group in the domain.
+func TestAFreeServerLoadsTheModelThatSurvivorsNeed(t *testing.T) {
+	w := newSimulation(20)
+	w.controller.SetBootstrapping(true)
+	w.run(10*time.Second, noDelay)
+	w.controller.SetBootstrapping(false)
+	w.crash(w.largeGroup(t, "d0").Members[1].ID)
+	w.run(4*time.Second, noDelay)
+	w.crash(w.largeGroup(t, "d0").Members[0].ID)
+	w.run(time.Second, noDelay)
+	w.add("n0", "d0")
+	w.run(2*time.Second, noDelay)
+	loaded := 0
+	for _, h := range w.hosts {
+		if h.Domain == "d0" && h.Alive && h.Member == nil && h.Staged == "large" {
+			loaded++
+		}
+	}
+	require.Equal(t, 4, loaded, strings.Join(w.trace, "\n"))
+	w.run(8*time.Second, noDelay)
+	require.Equal(t, registry.Open, w.hosts[w.largeGroup(t, "d0").Members[0].ID].Member.State)
+	require.Empty(t, w.servers.Violations)
+}
--- a/internal/formation/stage.go
+++ b/internal/formation/stage.go
@@ -10,16 +10,17 @@
 )
 
 // stageWeights orders free servers to load weights. Missing groups come first,
-// each in the domain that needs the fewest loads for it. The remaining servers
-// become spares for the groups of their domain.
-func (c *Controller) stageWeights(now time.Time, v *registry.View, free map[string][]*registry.Server, missing map[string]int, e *routes.Engine, d *Decision) {
+// each in the domain that needs the fewest loads for it, also with the survivors of
+// groups that end. The remaining servers become spares for the groups of their
+// domain.
+func (c *Controller) stageWeights(now time.Time, v *registry.View, free map[string][]*registry.Server, survivors map[modelDomain][]*registry.Server, missing map[string]int, e *routes.Engine, d *Decision) {
 	idle := make(map[string][]*registry.Server, len(free))
 	for domain, servers := range free {
 		idle[domain] = slices.Clone(servers)
 	}
 	for _, m := range largestGroupsFirst(e.Models) {
 		for range missing[m.Name] {
-			if !c.stageGroup(now, v, idle, missing, m, e, d) {
+			if !c.stageGroup(now, v, idle, survivors, missing, m, e, d) {
 				break
 			}
 		}
@@ -41,13 +42,13 @@
 }
 
 // stageGroup stages the weights still needed for one group of the model, in the
-// domain that needs the fewest loads, and removes the group's servers from idle.
-// It returns false if no domain has enough servers.
-func (c *Controller) stageGroup(now time.Time, v *registry.View, idle map[string][]*registry.Server, missing map[string]int, m routes.Model, e *routes.Engine, d *Decision) bool {
+// domain that needs the fewest loads, and removes the group's servers from idle and
+// survivors. It returns false if no domain has enough servers.
+func (c *Controller) stageGroup(now time.Time, v *registry.View, idle map[string][]*registry.Server, survivors map[modelDomain][]*registry.Server, missing map[string]int, m routes.Model, e *routes.Engine, d *Decision) bool {
 	bestDomain, bestLoads := "", m.GroupSize+1
 	var best []*registry.Server
 	for domain, servers := range idle {
-		members, loads := c.fewestLoads(servers, missing, m)
+		members, loads := c.fewestLoads(slices.Concat(survivors[modelDomain{m.Name, domain}], servers), missing, m)
 		if members != nil && (loads < bestLoads || (loads == bestLoads && domain < bestDomain)) {
 			bestDomain, bestLoads, best = domain, loads, members
 		}
@@ -56,6 +57,8 @@
 		return false
 	}
 	idle[bestDomain] = without(idle[bestDomain], best)
+	key := modelDomain{m.Name, bestDomain}
+	survivors[key] = without(survivors[key], best)
 	for _, srv := range best {
 		if joinCost(srv, m.Name) >= coldJoinCost {
 			c.stageServer(now, v, srv, m.Name, e, d)
