Start requests that can meet their objectives before overdue ones

While groups are missing, a little more arrives than the others serve. In the order of arrival each request then waits until it is late, and nearly all are. A stream now has a time by which it must be sent to meet its route's objective, by the engine's pass and prefill times. Requests past it go behind those that are not, of every organisation, and leave a tenth of a group's slots free, so that requests at other entries find one.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -144,20 +144,24 @@
 	}
 }
 
-// startNext starts one request and charges its cost to its organisation. Only
-// the first waiter of each flow is tried, in the order of virtual time. It
-// reports whether one started.
+// startNext starts one request and charges its cost to its organisation. Of each
+// flow only the first waiter that is not overdue is tried, in the order of virtual
+// time, and then the first overdue one. It reports whether one started.
 func (q *Queue) startNext(now time.Time) bool {
-	for _, organisation := range q.waitingByVirtualTime() {
-		f := q.flows[organisation]
-		w := f.waiting[0]
-		if !w.TryStart(now) {
-			continue
+	organisations := q.waitingByVirtualTime()
+	for _, overdue := range []bool{false, true} {
+		for _, organisation := range organisations {
+			f := q.flows[organisation]
+			i := slices.IndexFunc(f.waiting, func(w *Waiter) bool { return w.overdue(now) == overdue })
+			if i < 0 || !f.waiting[i].TryStart(now) {
+				continue
+			}
+			w := f.waiting[i]
+			q.remove(w)
+			q.virtualClock = max(q.virtualClock, f.virtualTime)
+			f.virtualTime += w.Cost / float64(max(w.Weight, 1))
+			return true
 		}
-		q.remove(w)
-		q.virtualClock = max(q.virtualClock, f.virtualTime)
-		f.virtualTime += w.Cost / float64(max(w.Weight, 1))
-		return true
 	}
 	return false
 }
@@ -194,6 +198,21 @@
 	q.flow(organisation).virtualTime += tokens / float64(max(weight, 1))
 }
 
+// OnTime returns the number of waiting requests that are not overdue.
+func (q *Queue) OnTime(now time.Time) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	n := 0
+	for _, f := range q.flows {
+		for _, w := range f.waiting {
+			if !w.overdue(now) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // Length returns the number of waiting requests.
 func (q *Queue) Length() int {
 	q.mu.Lock()
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -124,3 +124,30 @@
 	q.Dispatch(time.Time{})
 	require.Equal(t, []string{"retry", "first", "second", "late"}, order)
 }
+
+// A request that can't meet its objective any more goes behind all that can, of any
+// organisation; among themselves the overdue ones keep their order.
+func TestOverdueRequestsGoLast(t *testing.T) {
+	start := time.Unix(1000, 0)
+	q := admission.NewQueue(100)
+	var order []string
+	push := func(name, organisation string, due time.Duration) {
+		w := &admission.Waiter{Organisation: organisation, Weight: 1, TryStart: func(time.Time) bool {
+			order = append(order, name)
+			return true
+		}}
+		if due > 0 {
+			w.DueAt = start.Add(due)
+		}
+		require.NoError(t, q.Push(w))
+	}
+	push("overdue 1", "a", time.Second)
+	push("overdue 2", "a", 2*time.Second)
+	push("on time", "a", 10*time.Second)
+	push("without objective", "b", 0)
+	now := start.Add(5 * time.Second)
+	require.Equal(t, 2, q.OnTime(now))
+	q.Dispatch(now)
+	require.ElementsMatch(t, []string{"on time", "without objective"}, order[:2])
+	require.Equal(t, []string{"overdue 1", "overdue 2"}, order[2:])
+}
--- a/internal/admission/waiter.go
+++ b/internal/admission/waiter.go
@@ -15,6 +15,10 @@
 	// Retry marks a request that has been started before. It goes before the
 	// other requests of its organisation and is never shed.
 	Retry bool
+	// DueAt is when the request must have started to meet its objective; zero if
+	// it has none. After that it is overdue: it goes behind all requests that are
+	// not, of every organisation.
+	DueAt time.Time
 	// TryStart tries to start the request and reports whether it did. It is called
 	// with the queue locked, and must not call the queue's methods.
 	TryStart func(now time.Time) bool
@@ -27,3 +31,5 @@
 	// removed is set when the request was started, shed or removed.
 	removed bool
 }
+
+func (w *Waiter) overdue(now time.Time) bool { return !w.DueAt.IsZero() && now.After(w.DueAt) }
--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -19,6 +19,10 @@
 	// maxQueuedPerServer is how many requests a server may hold beyond its
 	// slots. They fill a slot that becomes free without a round trip.
 	maxQueuedPerServer = 1
+	// overdueReserve is the share of a replica group's slots that overdue requests
+	// leave free, at least one slot. Requests that arrive at other entries while
+	// capacity is short then still meet their objectives.
+	overdueReserve = 0.1
 )
 
 // Requirements describes the servers that can take a request.
@@ -28,6 +32,8 @@
 	Model string
 	// Tried are the IDs of servers that must not get the request again.
 	Tried map[string]bool
+	// Overdue is set if the request can't meet its objective any more.
+	Overdue bool
 	// remoteShare is the share of a remote server's slots that this entry may
 	// use. Reserve sets it.
 	remoteShare float64
@@ -236,6 +242,8 @@
 		return 0, false
 	case l.totalInFlight() >= slots+maxQueuedPerServer:
 		return 0, false
+	case r.Overdue && service.Engine != nil && l.totalInFlight() >= slots-overdueSlots(slots):
+		return 0, false
 	case !local:
 		score += 1
 	}
@@ -246,6 +254,15 @@
 	return score, true
 }
 
+// overdueSlots returns how many of a group's slots overdue requests leave free. A
+// group with a single slot has none to spare.
+func overdueSlots(slots int) int {
+	if slots < 2 {
+		return 0
+	}
+	return max(int(overdueReserve*float64(slots)), 1)
+}
+
 // Result is the outcome of a request at a server.
 type Result int
 
--- a/internal/dispatch/balancer_test.go
+++ b/internal/dispatch/balancer_test.go
@@ -321,3 +321,19 @@
 		require.Zero(t, queue.EstimateWait("large"))
 	})
 }
+
+// Overdue requests leave a part of each group's slots to requests that can still
+// meet their objectives, at other entries too.
+func TestOverdueRequestsLeaveSlotsFree(t *testing.T) {
+	b := balancer(0, leader("s1", "a"))
+	overdue := notes
+	overdue.Overdue = true
+	taken := 0
+	for range 10 {
+		if b.Reserve(start, overdue) != nil {
+			taken++
+		}
+	}
+	require.Equal(t, slots-1, taken)
+	require.Equal(t, map[string]int{"s1": 2}, reserve(b, 10, start), "the last slot and one that waits at the server")
+}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -34,20 +34,22 @@
 )
 
 // EstimateWait estimates how long a further request of the organisation would
-// wait. It divides the number of all waiting requests by the number of dispatches
-// in the last second, but at least 1. The estimate is 0 for a short queue, and
+// wait. It divides the number of waiting requests that are not overdue, which go
+// before it, by the number of dispatches in the last second, but at least 1. The
+// estimate is 0 for a short queue, and
 // for an organisation without waiting requests: fair queueing serves it soon,
 // however many requests the others have waiting.
 func (q *Queue) EstimateWait(organisation string) time.Duration {
 	// The admission queue calls back into q while it holds its own lock, so it
 	// must not be called with q.mu held.
-	ahead := q.waiters.Length()
+	now := q.now()
+	ahead := q.waiters.OnTime(now)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if ahead < minEstimateLength || q.waiting[organisation] == 0 {
 		return 0
 	}
-	q.trimDispatched(q.now())
+	q.trimDispatched(now)
 	return time.Duration(float64(ahead) / float64(max(len(q.dispatched), 1)) * float64(rateWindow))
 }
 
@@ -139,6 +141,9 @@
 	// Retry marks a further attempt of a request. It goes before the other
 	// requests of its organisation.
 	Retry bool
+	// DueAt is when the request must have been sent to meet its objective; zero if
+	// it has none. An overdue request goes behind those that are not.
+	DueAt time.Time
 }
 
 // Wait queues the request until reserve succeeds for it and returns that
@@ -149,6 +154,7 @@
 	shed := make(chan struct{})
 	w := &admission.Waiter{
 		Organisation: request.Organisation, Priority: request.Priority, Weight: 1, Cost: request.Cost, Retry: request.Retry,
+		DueAt: request.DueAt,
 		TryStart: func(now time.Time) bool {
 			r := reserve(now)
 			if r == nil {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -38,6 +38,9 @@
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	queued := dispatch.QueuedRequest{Priority: c.priority(), Cost: c.cost(), Retry: isRetry}
+	if !isRetry {
+		queued.DueAt = c.dueAt(model)
+	}
 	if c.organisation != nil {
 		queued.Organisation = c.organisation.Name
 	}
@@ -49,12 +52,24 @@
 	}
 	started := time.Now()
 	res := queue.Wait(ctx, queued, func(now time.Time) *dispatch.Reservation {
+		requirements.Overdue = !queued.DueAt.IsZero() && now.After(queued.DueAt)
 		return g.balancer.Reserve(now, requirements)
 	})
 	g.metrics.waited.observe(time.Since(started))
 	return res
 }
 
+// dueAt returns the time by which a stream must be sent to a replica group of the
+// model so that its first event meets the route's objective. It is zero for other
+// requests, for routes without an objective, and for a stream that a caller resumes.
+func (c *call) dueAt(model string) time.Time {
+	service := c.table.Service(c.service)
+	if model == "" || c.route.Objective <= 0 || c.info.LastEventID != "" || service == nil || service.Engine == nil {
+		return time.Time{}
+	}
+	return c.started.Add(c.route.Objective - service.Engine.FirstEventTime(model, c.info.PromptTokens))
+}
+
 // priority returns the request's priority; 0 is the most urgent. The
 // organisation's priority takes precedence over the route's.
 func (c *call) priority() int {
--- a/internal/routes/config.go
+++ b/internal/routes/config.go
@@ -106,6 +106,28 @@
 	return Model{}, false
 }
 
+// passesToFirstEvent is the mean number of passes from the arrival of a request at
+// an engine to its first event: half of the current pass, and its own.
+const passesToFirstEvent = 1.5
+
+// FirstEventTime returns how long a busy replica group of the model usually takes
+// from the arrival of a request to its first event. It is 0 for an unknown model.
+func (e *Engine) FirstEventTime(model string, promptTokens int) time.Duration {
+	m, found := e.Model(model)
+	if !found {
+		return 0
+	}
+	pass := time.Duration(e.StepsPerPass) * (e.StepTime + time.Duration(e.Slots)*e.SequenceTime)
+	t := passesToFirstEvent * float64(pass)
+	if e.PrefillRate > 0 {
+		t += float64(promptTokens) / e.PrefillRate * float64(time.Second)
+	}
+	if m.TimeScale > 0 {
+		t *= m.TimeScale
+	}
+	return time.Duration(t)
+}
+
 // Service is a set of backend servers that run the same software.
 type Service struct {
 	Name string
