Relay the store's rows and the loads in large zones

In a zone of more than four entries the two strongest are relays now (docs/design/relays.md). The first follows the store; the others ask for what has changed, report their loads and get the sums, have their rows renewed and don't try for the lease. An entry without a relay that has recent rows follows the store itself.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -18,6 +18,7 @@
 	PeerConnected            = Event{300, logrus.InfoLevel, "peer connected"}
 	PeerLost                 = Event{301, logrus.WarnLevel, "peer connection lost"}
 	PeerRejected             = Event{302, logrus.WarnLevel, "peer rejected: wrong key"}
+	RowSourceChanged         = Event{303, logrus.InfoLevel, "source of the store's rows changed"}
 	GroupFormed              = Event{400, logrus.InfoLevel, "replica group formed"}
 	GroupTakenOver           = Event{401, logrus.InfoLevel, "replica group taken over"}
 	GroupComplete            = Event{402, logrus.InfoLevel, "replica group complete"}
@@ -66,7 +67,7 @@
 	return []Event{
 		Started, Stopping, Stopped, ListenerFailed, HandlerPanicked, ShutdownTimedOut,
 		PlatformUnreachable, PlatformReachable, SessionOpened, SessionLost, SessionLapsed, SessionRelayed, RowInvalid,
-		PeerConnected, PeerLost, PeerRejected,
+		PeerConnected, PeerLost, PeerRejected, RowSourceChanged,
 		GroupFormed, GroupTakenOver, GroupComplete, GroupIncomplete, GroupRepaired,
 		GroupReformed, GroupReleased, OrderFailed, GroupSuperseded, QuarantineEnded, GroupHandedOver,
 		StreamResumed, WrongEventRejected, RequestFailed, AttemptBroken, PartQuarantined, PartReleased, PartTried,
--- a/internal/formation/repair_test.go
+++ b/internal/formation/repair_test.go
@@ -11,17 +11,17 @@
 	"github.com/hibiscuspulley/hibiscuspulley/internal/registry"
 )
 
-// largeGroup returns the recorded group of the model "large" in a domain.
-func (w *simulation) largeGroup(t *testing.T, domain string) *formation.Group {
+// largeGroup returns the recorded group of the model "large" in the domain "d0".
+func (w *simulation) largeGroup(t *testing.T) *formation.Group {
 	t.Helper()
 	for _, id := range sortedIDs(w.records) {
 		g, err := formation.DecodeGroup(w.records[id], w.now)
 		require.NoError(t, err)
-		if g.Model == "large" && w.hosts[g.Members[0].ID].Domain == domain {
+		if g.Model == "large" && w.hosts[g.Members[0].ID].Domain == "d0" {
 			return g
 		}
 	}
-	require.Fail(t, "no group of the model in "+domain)
+	require.Fail(t, "no group of the model in d0")
 	return nil
 }
 
@@ -33,7 +33,7 @@
 	w.run(10*time.Second, noDelay)
 	w.newController()
 	w.run(time.Second, noDelay)
-	g := w.largeGroup(t, "d0")
+	g := w.largeGroup(t)
 	w.crash(g.Members[0].ID)
 	w.run(brokenAfter+2*time.Second, noDelay)
 	require.NotContains(t, w.records, g.ID, strings.Join(w.trace, "\n"))
@@ -49,9 +49,9 @@
 	w.controller.SetBootstrapping(true)
 	w.run(10*time.Second, noDelay)
 	w.controller.SetBootstrapping(false)
-	w.crash(w.largeGroup(t, "d0").Members[1].ID)
+	w.crash(w.largeGroup(t).Members[1].ID)
 	w.run(4*time.Second, noDelay)
-	w.crash(w.largeGroup(t, "d0").Members[0].ID)
+	w.crash(w.largeGroup(t).Members[0].ID)
 	w.run(time.Second, noDelay)
 	w.add("n0", "d0")
 	w.run(2*time.Second, noDelay)
@@ -63,6 +63,6 @@
 	}
 	require.Equal(t, 4, loaded, strings.Join(w.trace, "\n"))
 	w.run(8*time.Second, noDelay)
-	require.Equal(t, registry.Open, w.hosts[w.largeGroup(t, "d0").Members[0].ID].Member.State)
+	require.Equal(t, registry.Open, w.hosts[w.largeGroup(t).Members[0].ID].Member.State)
 	require.Empty(t, w.servers.Violations)
 }
--- a/internal/gateway/control_loop.go
+++ b/internal/gateway/control_loop.go
@@ -153,7 +153,7 @@
 func (cl *controlLoop) step(ctx context.Context) {
 	now := cl.gateway.bootClock()
 	if cl.controller == nil {
-		if !now.Before(cl.nextAcquire) {
+		if !now.Before(cl.nextAcquire) && cl.gateway.relays.mayControl() {
 			cl.nextAcquire = now.Add(acquireInterval)
 			cl.tryAcquire(ctx, now)
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,6 +104,8 @@
 	buffers     responseBuffers
 	// peers exchanges in-flight loads with the other entries.
 	peers    *peers
+	relays   *relays
+	tables   []*followedTable
 	stopping atomic.Bool
 	// shutdownBeganAt is when Shutdown began, in Unix nanoseconds; 0 before that.
 	shutdownBeganAt atomic.Int64
@@ -162,6 +164,8 @@
 	g.crashes = newCrashDetector(g)
 	g.isolation = newIsolation(g)
 	g.isolation.publish(g.metrics.vars)
+	g.tables = newTables(g)
+	g.relays = newRelays(g)
 	g.control = newControlLoop(g)
 	if err := g.listenAll(); err != nil {
 		cancel()
@@ -173,6 +177,7 @@
 	g.spawn(func() { g.members.run(ctx) })
 	g.spawn(func() { g.control.run(ctx) })
 	g.spawn(func() { g.peers.run(ctx) })
+	g.spawn(func() { g.relays.run(ctx) })
 	g.spawn(func() { g.sweep(ctx) })
 	g.spawn(func() { g.isolation.follow(ctx) })
 	g.spawn(func() { g.isolation.decide(ctx) })
@@ -205,7 +210,7 @@
 func (g *Gateway) followOperatorRows(ctx context.Context) {
 	f := g.follower(g.platform.OperatorTable, operatorPollWait)
 	f.MinInterval = func() time.Duration { return 0 }
-	f.Apply = g.configCache.apply
+	f.Paused = func() bool { return !g.relays.mayProbe() }
 	f.Run(ctx, g.platform.Store)
 }
 
@@ -222,13 +227,16 @@
 			return serverPollInterval
 		}
 	}
-	f.Apply = g.applyServers
+	f.Paused = func() bool { return !g.relays.readsStore() && !g.control.isHolder.Load() }
 	f.Run(ctx, g.platform.Store)
 }
 
 func (g *Gateway) follower(table string, wait time.Duration) *store.Follower {
+	followed := g.table(table)
 	return &store.Follower{
 		Table: table, PollWait: wait, Now: g.bootClock,
+		Apply:    func(u store.Update) { followed.apply(g.bootClock(), u) },
+		Position: followed.cache.Version,
 		OnUnavailable: func(err error) {
 			event.PlatformUnreachable.Log(g.logger, logrus.Fields{"table": table, "error": err})
 		},
@@ -251,7 +259,9 @@
 			c.Server = s
 		}
 		changes = append(changes, c)
-		g.logServer(c, row.Version)
+		if g.relays.readsStore() {
+			g.logServer(c, row.Version)
+		}
 	}
 	v := g.registry.Apply(changes, u.Full, u.Version, u.AsOf, now)
 	g.balancer.SetView(v)
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -10,6 +12,7 @@
 	"github.com/hibiscuspulley/hibiscuspulley/internal/dispatch"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/event"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/membership"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/relay"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/store"
 	etcd "github.com/hibiscuspulley/hibiscuspulley/pkg/platform"
 )
@@ -19,11 +22,18 @@
 	entryTable = "entries"
 	// settledReads is the number of successful reads from which the rows are
 	// used to count the entries that share the bounds. At the first read,
-	// entries that start together have not written their rows yet.
+	// entries that start together have not written their rows yet. A relay's list
+	// is used at once.
 	settledReads = 2
 	// memberCallTimeout limits one write of the entry's row, or one read of all
 	// rows.
 	memberCallTimeout = 1500 * time.Millisecond
+	// secondReadAfter is the time from the first read of the rows to the second one.
+	// By then, entries that start together have written their rows.
+	secondReadAfter = 700 * time.Millisecond
+	// maxRenewals is the number of rows that one transaction renews. A transaction
+	// holds at most 100 rows.
+	maxRenewals = 90
 )
 
 // entryTiming renews less often than the controller lease: these rows only show
@@ -36,6 +46,8 @@
 // entries.
 type members struct {
 	gateway *Gateway
+	// mu guards session.
+	mu      sync.Mutex
 	session membership.Session
 	watcher *membership.Watcher
 	timing  membership.Timing
@@ -44,7 +56,7 @@
 	// succeeded, it is dispatch.DefaultEntryCount.
 	live atomic.Int64
 	// reads counts the successful reads.
-	reads int
+	reads atomic.Int64
 }
 
 func newMembers(g *Gateway) *members {
@@ -54,6 +66,7 @@
 		health: storeHealth{logger: g.logger, table: entryTable},
 		session: membership.Session{
 			Entry: g.settings.Name, Zone: g.settings.Zone, Address: g.settings.PeerAddress,
+			Strength:    g.settings.ProcessorShare,
 			Incarnation: g.bootClock().Format(time.RFC3339Nano), Epoch: 1, State: membership.Live,
 		},
 	}
@@ -65,28 +78,66 @@
 // it is known. It is at least 1.
 func (m *members) count() int { return int(m.live.Load()) }
 
+// run writes the entry's row at its start. After that it renews and reads the rows
+// while it reads the store, or while another entry might need it for that; a relay
+// renews the rows of the entries that it relays for.
 func (m *members) run(ctx context.Context) {
-	ticker := time.NewTicker(m.timing.RenewInterval)
-	defer ticker.Stop()
+	m.renew(ctx)
+	m.read(ctx)
+	pause := secondReadAfter
 	for {
-		m.renew(ctx)
-		m.read(ctx)
+		timer := time.NewTimer(pause)
 		select {
 		case <-ctx.Done():
+			timer.Stop()
 			return
-		case <-ticker.C:
+		case <-timer.C:
+		}
+		pause = m.timing.RenewInterval
+		if m.gateway.relays.readsStore() {
+			m.renew(ctx)
+			m.read(ctx)
 		}
 	}
 }
 
+// encodedSession returns the entry's row.
+func (m *members) encodedSession() []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return membership.Encode(m.session)
+}
+
+// renew renews the rows of this entry and of those that it relays for.
 func (m *members) renew(ctx context.Context) {
+	m.mu.Lock()
+	m.session.Counter++
+	sessions := []membership.Session{m.session}
+	m.mu.Unlock()
+	for _, encoded := range m.gateway.relays.sessionsToRenew() {
+		row, err := membership.Decode(etcd.Row{Value: encoded})
+		if err != nil {
+			m.gateway.logger.WithError(err).Warn("the session of an entry that this one relays for can't be read")
+			continue
+		}
+		// A renewal is a change of the counter, whoever makes it.
+		row.Counter = uint64(m.gateway.bootClock().UnixMilli())
+		sessions = append(sessions, row.Session)
+	}
+	for batch := range slices.Chunk(sessions, maxRenewals) {
+		var t store.Transaction
+		for _, s := range batch {
+			key := store.RowKey{Table: entryTable, Key: membership.Key(s.Zone, s.Entry)}
+			t.Puts = append(t.Puts, store.Put{RowKey: key, Value: membership.Encode(s)})
+		}
+		m.commit(ctx, t)
+	}
+}
+
+func (m *members) commit(ctx context.Context, t store.Transaction) {
 	ctx, cancel := context.WithTimeout(ctx, memberCallTimeout)
 	defer cancel()
-	m.session.Counter++
-	key := store.RowKey{Table: entryTable, Key: membership.Key(m.session.Zone, m.session.Entry)}
-	_, err := m.gateway.platform.Store.Commit(ctx, store.Transaction{
-		Puts: []store.Put{{RowKey: key, Value: membership.Encode(m.session)}},
-	})
+	_, err := m.gateway.platform.Store.Commit(ctx, t)
 	m.health.record(err)
 }
 
@@ -109,21 +160,27 @@
 		rows = append(rows, decoded)
 	}
 	m.watcher.Observe(sentAt, m.gateway.bootClock(), rows)
-	live := make([]membership.Row, 0, len(rows))
+	live := make([]relay.Entry, 0, len(rows))
 	for _, row := range rows {
 		if row.State == membership.Live && !m.watcher.Expired(row) {
-			live = append(live, row)
+			live = append(live, relay.Entry{Name: row.Entry, Zone: row.Zone, Address: row.Address, Strength: row.Strength})
 		}
 	}
-	m.gateway.peers.update(live)
-	m.reads++
-	if m.reads < settledReads {
+	m.reads.Add(1)
+	m.applyLive(live)
+}
+
+// applyLive takes over a list of live entries, from the store or from a relay.
+func (m *members) applyLive(live []relay.Entry) {
+	m.gateway.relays.setLive(live)
+	m.gateway.peers.update()
+	if m.reads.Load() < settledReads && m.gateway.relays.readsStore() {
 		return
 	}
 	m.live.Store(int64(max(len(live), 1)))
 	entries := make([]dispatch.Entry, 0, len(live))
-	for _, row := range live {
-		entries = append(entries, dispatch.Entry{Name: row.Entry, Zone: row.Zone})
+	for _, e := range live {
+		entries = append(entries, dispatch.Entry{Name: e.Name, Zone: e.Zone})
 	}
 	m.gateway.balancer.SetEntries(m.session.Entry, entries)
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -11,7 +11,6 @@
 
 	"github.com/hibiscuspulley/hibiscuspulley/internal/dispatch"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/event"
-	"github.com/hibiscuspulley/hibiscuspulley/internal/membership"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/peer"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/registry"
 )
@@ -29,11 +28,16 @@
 	peerLoadTTL = 2 * time.Second
 )
 
+// relayedLoads is the name under which the loads are kept that a relay reports for
+// all other entries together.
+const relayedLoads = ""
+
 // peers exchanges the numbers of in-flight requests, by server, and what is known
-// about prompt parts that crash servers with the other entries. Entries of the same zone exchange them for all servers. Entries of
-// different zones exchange them only for the servers of those two zones. In each
-// pair of entries, the one whose name sorts first sends the exchange request, and
-// the reply carries the other entry's loads.
+// about prompt parts that crash servers with the other hubs. Hubs of the same zone
+// exchange them for all servers, hubs of different zones only for the servers of
+// those two zones. In each pair of hubs, the one whose name sorts first sends the
+// exchange request, and the reply carries the other hub's loads. A relay reports the
+// loads of the entries that it relays for as its own.
 type peers struct {
 	gateway *Gateway
 	server  *peer.Server
@@ -43,8 +47,40 @@
 	// links holds the peers that this entry sends exchange requests to, by
 	// address. It is nil after closeAll.
 	links map[string]*peerEntry
-	// loads holds the last loads of each peer, by its name.
-	loads map[string]peerLoads
+	// loads holds the last loads of each hub, by its name, or under relayedLoads
+	// those that a relay reported. askerLoads holds those of the entries that this
+	// one relays for.
+	loads      map[string]peerLoads
+	askerLoads map[string]peerLoads
+	// sums holds the loads of all other entries together.
+	sums map[registry.Incarnation]loadSum
+}
+
+// loadSum is the load of several entries on a server.
+type loadSum struct {
+	inFlight int
+	// stalled counts the entries that report the server as stalled, and progress
+	// those whose streams from it advance.
+	stalled, progress int
+}
+
+func (s *loadSum) add(l peer.Load, sign int) {
+	s.inFlight += sign * l.InFlight
+	if l.Stalled {
+		s.stalled += sign
+	}
+	if hasProgress(l) {
+		s.progress += sign
+	}
+}
+
+// hasProgress reports whether streams of an entry from the server advance.
+func hasProgress(l peer.Load) bool { return l.Progress || (l.InFlight > 0 && !l.Stalled) }
+
+func (s *loadSum) load(inc registry.Incarnation) peer.Load {
+	return peer.Load{
+		Server: inc.ID, StartTime: inc.StartTime, InFlight: s.inFlight, Stalled: s.stalled > 0, Progress: s.progress > 0,
+	}
 }
 
 // peerEntry is an entry to which this one sends exchange requests.
@@ -63,8 +99,10 @@
 }
 
 func newPeers(g *Gateway) *peers {
-	ps := &peers{gateway: g, links: make(map[string]*peerEntry), loads: make(map[string]peerLoads)}
-	ps.server = peer.NewServer(g.settings.PeerKey, ps.handleExchange, func(address string) {
+	ps := &peers{
+		gateway: g, links: make(map[string]*peerEntry), loads: make(map[string]peerLoads), askerLoads: make(map[string]peerLoads),
+	}
+	ps.server = peer.NewServer(g.settings.PeerKey, ps.handle, func(address string) {
 		event.PeerRejected.Log(g.logger, logrus.Fields{"address": address})
 	})
 	return ps
@@ -84,13 +122,15 @@
 	}
 }
 
-// update opens and closes links to match the rows of the live entries. Only
-// entries whose names sort after this entry's name get a link.
-func (ps *peers) update(rows []membership.Row) {
+// update opens and closes links to match the hubs. Only hubs whose names sort after
+// this entry's name get a link, and only if it is a hub itself.
+func (ps *peers) update() {
 	wanted := make(map[string]string)
-	for _, row := range rows {
-		if row.Address != "" && strings.Compare(ps.gateway.settings.Name, row.Entry) < 0 {
-			wanted[row.Address] = row.Zone
+	if hubs, own := ps.gateway.relays.hubs(); own {
+		for _, e := range hubs {
+			if strings.Compare(ps.gateway.settings.Name, e.Name) < 0 {
+				wanted[e.Address] = e.Zone
+			}
 		}
 	}
 	ps.mu.Lock()
@@ -144,58 +184,121 @@
 
 func (ps *peers) exchangeWith(ctx context.Context, p *peerEntry) {
 	reply, err := p.link.Call(ctx, peer.Request{Exchange: &peer.Exchange{
-		Entry: ps.gateway.settings.Name, Zone: ps.gateway.settings.Zone, Loads: ps.localLoads(p.zone),
+		Entry: ps.gateway.settings.Name, Zone: ps.gateway.settings.Zone, Loads: ps.subtreeLoads(p.zone),
 		Parts: ps.gateway.isolation.tracker.Report(time.Now()),
 	}})
 	// After a failure the link redials. Its connection handler logs the lost
 	// connection.
 	if err == nil && reply.Exchange != nil {
 		ps.storeLoads(reply.Exchange.Entry, reply.Exchange.Loads)
-		ps.gateway.isolation.tracker.Merge(time.Now(), reply.Exchange.Parts)
+		ps.gateway.isolation.tracker.Forward(time.Now(), reply.Exchange.Parts)
 	}
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	p.pending = false
 }
 
-// localLoads returns the loads to send to an entry of the zone: for each relevant
-// server, the number of this entry's in-flight requests and whether the server
-// is stalled. Stalled servers are included even without requests in flight.
-func (ps *peers) localLoads(zone string) []peer.Load {
+// subtreeLoads returns the loads to send to a hub of the zone, or to this entry's
+// relay if zone is empty: for each relevant server, the number of in-flight requests
+// of this entry and of those that it relays for, and whether the server is stalled.
+// Stalled servers are included even without requests in flight.
+func (ps *peers) subtreeLoads(zone string) []peer.Load {
+	sums := ps.localSums()
+	now := time.Now()
+	ps.mu.Lock()
+	for _, reported := range ps.askerLoads {
+		if now.Sub(reported.at) <= peerLoadTTL {
+			addLoads(sums, reported.loads, 1)
+		}
+	}
+	ps.mu.Unlock()
 	servers := ps.gateway.registry.View().Servers
-	relevant := func(inc registry.Incarnation) bool {
+	loads := make([]peer.Load, 0, len(sums))
+	for inc, sum := range sums {
 		s := servers[inc.ID]
-		return zone == ps.gateway.settings.Zone || (s != nil && (s.Zone == zone || s.Zone == ps.gateway.settings.Zone))
+		own := ps.gateway.settings.Zone
+		if zone == "" || zone == own || (s != nil && (s.Zone == zone || s.Zone == own)) {
+			loads = append(loads, sum.load(inc))
+		}
 	}
-	now := time.Now()
+	return loads
+}
+
+// localSums returns the loads of this entry alone.
+func (ps *peers) localSums() map[registry.Incarnation]loadSum {
 	stalled := make(map[registry.Incarnation]bool)
-	for _, inc := range ps.gateway.balancer.Stalled(now) {
+	for _, inc := range ps.gateway.balancer.Stalled(time.Now()) {
 		stalled[inc] = true
 	}
+	sums := make(map[registry.Incarnation]loadSum)
 	counts := ps.gateway.balancer.InFlight()
-	loads := make([]peer.Load, 0, len(counts))
 	for inc := range stalled {
-		if counts[inc] == 0 && relevant(inc) {
-			loads = append(loads, peer.Load{Server: inc.ID, StartTime: inc.StartTime, Stalled: true})
+		if counts[inc] == 0 {
+			sums[inc] = loadSum{stalled: 1}
 		}
 	}
 	for inc, count := range counts {
-		if relevant(inc) {
-			loads = append(loads, peer.Load{Server: inc.ID, StartTime: inc.StartTime, InFlight: count, Stalled: stalled[inc]})
+		sum := loadSum{}
+		sum.add(peer.Load{InFlight: count, Stalled: stalled[inc]}, 1)
+		sums[inc] = sum
+	}
+	return sums
+}
+
+// addLoads adds loads to sums, or takes them off if sign is -1.
+func addLoads(sums map[registry.Incarnation]loadSum, loads []peer.Load, sign int) {
+	for _, l := range loads {
+		inc := registry.Incarnation{ID: l.Server, StartTime: l.StartTime}
+		sum := sums[inc]
+		sum.add(l, sign)
+		sums[inc] = sum
+	}
+}
+
+// loadsWithout returns the loads of all entries, this one included, but for one that
+// it relays for.
+func (ps *peers) loadsWithout(entry string) []peer.Load {
+	sums := ps.localSums()
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	for inc, other := range ps.sums {
+		sum := sums[inc]
+		sum.inFlight, sum.stalled, sum.progress = sum.inFlight+other.inFlight, sum.stalled+other.stalled, sum.progress+other.progress
+		sums[inc] = sum
+	}
+	addLoads(sums, ps.askerLoads[entry].loads, -1)
+	loads := make([]peer.Load, 0, len(sums))
+	for inc, sum := range sums {
+		if sum.inFlight > 0 || sum.stalled > 0 {
+			loads = append(loads, sum.load(inc))
 		}
 	}
 	return loads
 }
 
-func (ps *peers) handleExchange(_ context.Context, r peer.Request) peer.Reply {
-	if r.Exchange == nil {
+// storeAskerLoads stores the loads of an entry that this one relays for.
+func (ps *peers) storeAskerLoads(entry string, loads []peer.Load) {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	if ps.sums != nil {
+		addLoads(ps.sums, ps.askerLoads[entry].loads, -1)
+		addLoads(ps.sums, loads, 1)
+	}
+	ps.askerLoads[entry] = peerLoads{loads: loads, at: time.Now()}
+}
+
+func (ps *peers) handle(_ context.Context, r peer.Request) peer.Reply {
+	switch {
+	case r.Sync != nil:
+		return peer.Reply{Sync: ps.gateway.relays.handle(r.Sync)}
+	case r.Exchange == nil:
 		return peer.Reply{}
 	}
 	ps.storeLoads(r.Exchange.Entry, r.Exchange.Loads)
-	ps.gateway.isolation.tracker.Merge(time.Now(), r.Exchange.Parts)
+	ps.gateway.isolation.tracker.Forward(time.Now(), r.Exchange.Parts)
 	ps.apply()
 	return peer.Reply{Exchange: &peer.ExchangeReply{
-		Entry: ps.gateway.settings.Name, Zone: ps.gateway.settings.Zone, Ready: ps.gateway.Ready(), Loads: ps.localLoads(r.Exchange.Zone),
+		Entry: ps.gateway.settings.Name, Zone: ps.gateway.settings.Zone, Ready: ps.gateway.Ready(), Loads: ps.subtreeLoads(r.Exchange.Zone),
 		Parts: ps.gateway.isolation.tracker.Report(time.Now()),
 	}}
 }
@@ -208,13 +311,15 @@
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	now := time.Now()
-	for _, reported := range ps.loads {
-		if now.Sub(reported.at) > peerLoadTTL {
-			continue
-		}
-		for _, l := range reported.loads {
-			if l.Server == server && l.InFlight > 0 && !l.Stalled {
-				return true
+	for _, reports := range []map[string]peerLoads{ps.loads, ps.askerLoads} {
+		for _, reported := range reports {
+			if now.Sub(reported.at) > peerLoadTTL {
+				continue
+			}
+			for _, l := range reported.loads {
+				if l.Server == server && hasProgress(l) {
+					return true
+				}
 			}
 		}
 	}
@@ -227,27 +332,28 @@
 	ps.loads[entry] = peerLoads{loads: loads, at: time.Now()}
 }
 
-// apply passes the sums of the peers' in-flight requests to the balancer and
+// apply passes the sums of the other entries' in-flight requests to the balancer and
 // dispatches queued requests. It drops loads older than peerLoadTTL.
 func (ps *peers) apply() {
 	now := time.Now()
-	sums := make(map[registry.Incarnation]dispatch.PeerLoad)
+	sums := make(map[registry.Incarnation]loadSum)
 	ps.mu.Lock()
-	for entry, reported := range ps.loads {
-		if now.Sub(reported.at) > peerLoadTTL {
-			delete(ps.loads, entry)
-			continue
-		}
-		for _, l := range reported.loads {
-			inc := registry.Incarnation{ID: l.Server, StartTime: l.StartTime}
-			sum := sums[inc]
-			sum.InFlight += l.InFlight
-			sum.Stalled = sum.Stalled || l.Stalled
-			sums[inc] = sum
+	for _, reports := range []map[string]peerLoads{ps.loads, ps.askerLoads} {
+		for entry, reported := range reports {
+			if now.Sub(reported.at) > peerLoadTTL {
+				delete(reports, entry)
+				continue
+			}
+			addLoads(sums, reported.loads, 1)
 		}
 	}
+	ps.sums = sums
+	loads := make(map[registry.Incarnation]dispatch.PeerLoad, len(sums))
+	for inc, sum := range sums {
+		loads[inc] = dispatch.PeerLoad{InFlight: sum.inFlight, Stalled: sum.stalled > 0}
+	}
 	ps.mu.Unlock()
-	ps.gateway.balancer.SetPeerLoads(sums)
+	ps.gateway.balancer.SetPeerLoads(loads)
 	ps.gateway.queues.Dispatch()
 }
 
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -67,15 +67,18 @@
 func (i *isolation) follow(ctx context.Context) {
 	f := i.gateway.follower(quarantine.Table, quarantinePollWait)
 	f.MinInterval = func() time.Duration { return 0 }
-	f.Apply = func(u store.Update) {
-		i.tracker.ApplyRows(time.Now(), i.decodeRows(u.Rows), u.Full)
-		if !i.ready() {
-			close(i.loaded)
-		}
-	}
+	f.Paused = func() bool { return !i.gateway.relays.readsStore() }
 	f.Run(ctx, i.gateway.platform.Store)
 }
 
+// apply applies an update of the quarantine.
+func (i *isolation) apply(u store.Update) {
+	i.tracker.ApplyRows(time.Now(), i.decodeRows(u.Rows), u.Full)
+	if !i.ready() {
+		close(i.loaded)
+	}
+}
+
 func (i *isolation) decodeRows(rows []store.Row) []quarantine.Row {
 	decoded := make([]quarantine.Row, 0, len(rows))
 	for _, row := range rows {
--- a/internal/membership/codec.go
+++ b/internal/membership/codec.go
@@ -9,14 +9,15 @@
 )
 
 type sessionWire struct {
-	Entry       string `json:"entry"`
-	Zone        string `json:"zone"`
-	Address     string `json:"address"`
-	Incarnation string `json:"incarnation"`
-	Epoch       uint64 `json:"epoch"`
-	Counter     uint64 `json:"counter"`
-	State       string `json:"state"`
-	WriteID     string `json:"attempt"`
+	Entry       string  `json:"entry"`
+	Zone        string  `json:"zone"`
+	Address     string  `json:"address"`
+	Incarnation string  `json:"incarnation"`
+	Epoch       uint64  `json:"epoch"`
+	Counter     uint64  `json:"counter"`
+	State       string  `json:"state"`
+	WriteID     string  `json:"attempt"`
+	Strength    float64 `json:"strength,omitempty"`
 }
 
 // Encode encodes the session as the value of a table row.
@@ -30,6 +31,7 @@
 		Counter:     s.Counter,
 		State:       string(s.State),
 		WriteID:     s.WriteID,
+		Strength:    s.Strength,
 	})
 	if err != nil {
 		panic(err) // a struct of strings and integers cannot fail to encode
@@ -52,6 +54,7 @@
 		Counter:     w.Counter,
 		State:       State(w.State),
 		WriteID:     w.WriteID,
+		Strength:    w.Strength,
 	}
 	return Row{Session: s, Version: row.Version}, nil
 }
--- a/internal/membership/session.go
+++ b/internal/membership/session.go
@@ -18,6 +18,8 @@
 	Zone  string
 	// Address is the address at which the entry serves its peers.
 	Address string
+	// Strength is the entry's share of processor time; 0 means unknown.
+	Strength float64
 	// Incarnation identifies one run of the entry's process.
 	Incarnation string
 	// Epoch numbers the sessions that were opened under this entry name.
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"time"
+
 	"github.com/hibiscuspulley/hibiscuspulley/internal/permit"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/quarantine"
 )
@@ -34,8 +36,68 @@
 	StartTime int64
 	InFlight  int
 	// Stalled is true if none of the entry's streams from the server makes
-	// progress.
-	Stalled bool
+	// progress. A relay sends the sums of several entries; Stalled then means that
+	// one of them reports so, and Progress that the streams of another one advance.
+	Stalled  bool
+	Progress bool
+}
+
+// Sync is the periodic message of an entry to a relay of its availability zone. It
+// asks for what has changed in the tables that the relay passes on.
+type Sync struct {
+	Entry string
+	// Sessions holds the encoded session rows of the sender and of those that it
+	// relays for, now and then. The relay renews them as long as it gets syncs.
+	Sessions [][]byte
+	// Versions holds the version that the sender has of each table; 0 asks for the
+	// whole table.
+	Versions map[string]int64
+	// Roster is the fingerprint of the sender's list of live entries.
+	Roster uint64
+	// WantLoads asks for the loads of all other entries, and reports the sender's.
+	WantLoads bool
+	Loads     []Load
+	Parts     quarantine.Report
+}
+
+// SyncReply is the reply to a Sync.
+type SyncReply struct {
+	Entry string
+	// Tables holds the tables that the relay has read.
+	Tables []TableUpdate
+	// Roster lists the live entries if the sender's list differs; otherwise it is
+	// empty.
+	Roster []RosterEntry
+	// Loads holds the loads of all entries but the sender, if it wants them.
+	Loads []Load
+	Parts quarantine.Report
+}
+
+// TableUpdate holds the rows of one table that changed after the sender's version.
+type TableUpdate struct {
+	Table   string
+	Version int64
+	// Full means that Rows is the whole table.
+	Full bool
+	// Age is how long before the reply the relay's copy included every change.
+	Age  time.Duration
+	Rows []TableRow
+}
+
+// TableRow is a row of a table.
+type TableRow struct {
+	Key     string
+	Value   []byte
+	Version int64
+	Deleted bool
+}
+
+// RosterEntry is a live entry.
+type RosterEntry struct {
+	Name     string
+	Zone     string
+	Address  string
+	Strength float64
 }
 
 // Order is a provisional order: a configuration change that is not recorded in the
@@ -104,6 +166,7 @@
 	Exchange   *Exchange
 	ConfigPull *ConfigPull
 	Relay      *Relay
+	Sync       *Sync
 }
 
 // Reply is the reply to a Request. The field that matches the request is set. No
@@ -112,4 +175,5 @@
 	Exchange *ExchangeReply
 	Config   *ConfigReply
 	Relay    *RelayReply
+	Sync     *SyncReply
 }
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -71,6 +71,7 @@
 	StartTime int64  `cbor:"2,keyasint"`
 	InFlight  int    `cbor:"3,keyasint,omitempty"`
 	Stalled   bool   `cbor:"4,keyasint,omitempty"`
+	Progress  bool   `cbor:"5,keyasint,omitempty"`
 }
 
 type crashWire struct {
@@ -115,7 +116,7 @@
 func loadsToWire(loads []Load) []loadWire {
 	var wires []loadWire
 	for _, l := range loads {
-		wires = append(wires, loadWire{Server: l.Server, StartTime: l.StartTime, InFlight: l.InFlight, Stalled: l.Stalled})
+		wires = append(wires, loadWire{Server: l.Server, StartTime: l.StartTime, InFlight: l.InFlight, Stalled: l.Stalled, Progress: l.Progress})
 	}
 	return wires
 }
@@ -123,7 +124,7 @@
 func loadsFromWire(wires []loadWire) []Load {
 	var loads []Load
 	for _, w := range wires {
-		loads = append(loads, Load{Server: w.Server, StartTime: w.StartTime, InFlight: w.InFlight, Stalled: w.Stalled})
+		loads = append(loads, Load{Server: w.Server, StartTime: w.StartTime, InFlight: w.InFlight, Stalled: w.Stalled, Progress: w.Progress})
 	}
 	return loads
 }
@@ -166,6 +167,8 @@
 	Relay         *relayWire         `cbor:"6,keyasint,omitempty"`
 	RelayReply    *relayReplyWire    `cbor:"7,keyasint,omitempty"`
 	Revocation    *revocationWire    `cbor:"8,keyasint,omitempty"`
+	Sync          *syncWire          `cbor:"9,keyasint,omitempty"`
+	SyncReply     *syncReplyWire     `cbor:"10,keyasint,omitempty"`
 }
 
 func encodeFrame(f frameWire) ([]byte, error) {
@@ -190,6 +193,9 @@
 	if r.Relay != nil {
 		f.Relay = &relayWire{Key: r.Relay.Key, Value: r.Relay.Value, Version: r.Relay.Version}
 	}
+	if r.Sync != nil {
+		f.Sync = syncToWire(*r.Sync)
+	}
 	return f
 }
 
@@ -204,6 +210,9 @@
 	if f.Relay != nil {
 		r.Relay = &Relay{Key: f.Relay.Key, Value: f.Relay.Value, Version: f.Relay.Version}
 	}
+	if f.Sync != nil {
+		r.Sync = syncFromWire(*f.Sync)
+	}
 	return r
 }
 
@@ -218,6 +227,9 @@
 	if y := r.Relay; y != nil {
 		f.RelayReply = &relayReplyWire{PlatformReached: y.PlatformReached, Succeeded: y.Succeeded, Version: y.Version}
 	}
+	if r.Sync != nil {
+		f.SyncReply = syncReplyToWire(*r.Sync)
+	}
 	return f
 }
 
@@ -232,6 +244,9 @@
 	if y := f.RelayReply; y != nil {
 		r.Relay = &RelayReply{PlatformReached: y.PlatformReached, Succeeded: y.Succeeded, Version: y.Version}
 	}
+	if f.SyncReply != nil {
+		r.Sync = syncReplyFromWire(*f.SyncReply)
+	}
 	return r
 }
 
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hibiscuspulley/hibiscuspulley/internal/registry"
@@ -37,6 +38,10 @@
 	reportPeriod = 3 * time.Second
 	// maxReported limits the items of each kind in a report.
 	maxReported = 64
+	// forwardAgain is how much later than the last one a peer's success with the
+	// same part must be to be passed on. Ages grow a little at each entry that they
+	// pass.
+	forwardAgain = time.Second
 )
 
 // outbox holds the entry's own items to report, the oldest first.
@@ -71,6 +76,27 @@
 	o.successes = append(lastItems(o.successes, maxReported-1), ownSuccess{part, at, now})
 }
 
+// forward adds the items of a peer's report that are not there yet.
+func (o *outbox) forward(r Report, now time.Time) {
+	for _, c := range r.Crashes {
+		known := slices.ContainsFunc(o.crashes, func(own ownCrash) bool {
+			return own.crash.Part == c.Part && own.crash.Server == c.Server && own.crash.Request == c.Request
+		})
+		if !known {
+			o.addCrash(Crash{Part: c.Part, Server: c.Server, Request: c.Request}, now.Add(-c.Age))
+		}
+	}
+	for _, s := range r.Successes {
+		at := now.Add(-s.Age)
+		known := slices.ContainsFunc(o.successes, func(own ownSuccess) bool {
+			return own.part == s.Part && at.Sub(own.at) < forwardAgain
+		})
+		if !known {
+			o.addSuccess(s.Part, at, now)
+		}
+	}
+}
+
 func lastItems[T any](items []T, n int) []T {
 	return items[max(len(items)-n, 0):]
 }
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -129,6 +129,16 @@
 	}
 }
 
+// Forward adds the report of a peer and passes what is new in it on to the other
+// entries. Items keep their ages, so that they are forgotten everywhere at the same
+// time, and no item is passed on twice.
+func (t *Tracker) Forward(now time.Time, r Report) {
+	t.Merge(now, r)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.outbox.forward(r, now)
+}
+
 // Report returns what to tell the other entries.
 func (t *Tracker) Report(now time.Time) Report {
 	t.mu.Lock()
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -363,3 +363,28 @@
 	// {"entry":"e1","servers":["s1"],"requests":["r1"],"trials":0}
 	// 5c1e [s1] <nil>
 }
+
+// A relay passes the reports of its entries on to the others. An item keeps its age
+// at each entry that it passes, and must not go around for good.
+func TestForwardedReportsEnd(t *testing.T) {
+	now := time.Unix(1000, 0)
+	one, two := quarantine.NewTracker("one"), quarantine.NewTracker("two")
+	server := registry.Incarnation{ID: "s1", StartTime: 1}
+	source := quarantine.NewTracker("source")
+	source.RecordCrash(now, server, "r1", []string{"p1"})
+	source.RecordSuccess(now, []string{"p1"})
+	one.Forward(now, source.Report(now))
+	last := now
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		two.Forward(now, one.Report(now.Add(-2*time.Millisecond)))
+		one.Forward(now, two.Report(now.Add(-2*time.Millisecond)))
+		if r := two.Report(now); len(r.Crashes)+len(r.Successes) > 0 {
+			last = now
+			require.LessOrEqual(t, len(r.Crashes), 1)
+			require.LessOrEqual(t, len(r.Successes), 1)
+		}
+	}
+	require.Greater(t, last.Sub(time.Unix(1000, 0)), 2*time.Second)
+	require.Less(t, last.Sub(time.Unix(1000, 0)), 7*time.Second)
+}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -28,6 +28,9 @@
 	// PeerAddress is the listening address for peer connections. Empty disables
 	// the exchange with peers.
 	PeerAddress string
+	// ProcessorShare is the share of a core that the instance has. The strongest
+	// entries of a large availability zone relay the store's rows to the others.
+	ProcessorShare float64
 	// PeerKey is the shared secret that authenticates peers.
 	PeerKey string
 	// StoreAddress is the host and port of the platform's store.
@@ -58,6 +61,9 @@
 	RetrySlack float64
 }
 
+// defaultProcessorShare is a whole core.
+const defaultProcessorShare = 1
+
 // Default values of GatewayBounds.
 const (
 	defaultRevocation  = 5 * time.Second
@@ -96,6 +102,7 @@
 		MetricsAddress:   r.address(o, "metrics-address", false),
 		PeerAddress:      r.address(o, "peer-address", false),
 		PeerKey:          o.text("peer-key", "", false),
+		ProcessorShare:   o.number("processor-share", defaultProcessorShare),
 		StoreAddress:     r.address(o, "store-address", true),
 		FirstStart:       o.boolean("first-start"),
 		LogLevel:         o.text("log-level", "info", false),
--- a/internal/site/invariants_test.go
+++ b/internal/site/invariants_test.go
@@ -30,10 +30,10 @@
 
 // runFaultCases injects the cases into a site, one second apart, and checks the
 // invariants and the served share after recovery.
-func runFaultCases(t *testing.T, seed uint64, plannedOnly bool, list ...faultCase) {
+func runFaultCases(t *testing.T, entries int, seed uint64, plannedOnly bool, list ...faultCase) {
 	t.Parallel() // each test has its own virtual time
 	synctest.Test(t, func(t *testing.T) {
-		s := newSite(t, seed)
+		s := newSiteOf(t, seed, entries)
 		defer s.stop()
 		s.plannedOnly = plannedOnly
 		s.run()
@@ -104,10 +104,10 @@
 
 func TestInvariantsHoldUnderEachFault(t *testing.T) {
 	for _, fc := range plannedCases() {
-		t.Run(subtestName(fc), func(t *testing.T) { runFaultCases(t, *seed, true, fc) })
+		t.Run(subtestName(fc), func(t *testing.T) { runFaultCases(t, entriesPerZone, *seed, true, fc) })
 	}
 	for _, fc := range faultCases()[len(plannedCases()):] {
-		t.Run(subtestName(fc), func(t *testing.T) { runFaultCases(t, *seed, false, fc) })
+		t.Run(subtestName(fc), func(t *testing.T) { runFaultCases(t, entriesPerZone, *seed, false, fc) })
 	}
 }
 
@@ -126,7 +126,7 @@
 	}
 	for i, p := range list {
 		t.Run(fmt.Sprintf("%s, %s", subtestName(p[0]), subtestName(p[1])), func(t *testing.T) {
-			runFaultCases(t, *seed+uint64(i), false, p[0], p[1])
+			runFaultCases(t, entriesPerZone, *seed+uint64(i), false, p[0], p[1])
 		})
 	}
 }
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -38,8 +38,14 @@
 // zones are the site's availability zones.
 var zones = []string{"a", "b"}
 
-// site is a small deployment with two entries and fourteen backend servers in
-// each zone.
+const (
+	// entriesPerZone is the usual number of entries in each zone; all of them follow
+	// the store. In a site of relayedEntriesPerZone, two of each zone are relays.
+	entriesPerZone        = 2
+	relayedEntriesPerZone = 6
+)
+
+// site is a small deployment with fourteen backend servers in each zone.
 type site struct {
 	t       *testing.T
 	rng     *rand.Rand
@@ -71,7 +77,10 @@
 	lost   float64
 }
 
-func newSite(t *testing.T, seed uint64) *site {
+func newSite(t *testing.T, seed uint64) *site { return newSiteOf(t, seed, entriesPerZone) }
+
+// newSiteOf returns a site with a number of entries in each zone.
+func newSiteOf(t *testing.T, seed uint64, entries int) *site {
 	s := &site{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), network: standin.NewMemory(), store: standin.NewStore(),
 		servers: map[string]*server{}, checker: newChecker(), stopped: make(chan struct{}), plannedOnly: true,
@@ -93,7 +102,7 @@
 		}
 	}
 	for _, zone := range zones {
-		for i := range 2 {
+		for i := range entries {
 			s.machines = append(s.machines, s.newMachine(fmt.Sprintf("%s-%d", zone, i+1), zone))
 		}
 	}
--- a/internal/store/follower.go
+++ b/internal/store/follower.go
@@ -35,7 +35,7 @@
 
 // Follower follows one table. It reads the whole table and then its feed of
 // changes, and reads the whole table again if the feed no longer reaches back far
-// enough. All fields must be set.
+// enough. All fields but Paused and Position must be set.
 type Follower struct {
 	// Table is the table to follow. Its rows have an empty partition.
 	Table string
@@ -52,25 +52,44 @@
 	OnRecovered   func()
 	// Now is the clock for Update.AsOf.
 	Now func() time.Time
+	// Paused reports that no call is due, because the table's rows come from
+	// elsewhere.
+	Paused func() bool
+	// Position returns the version that is known, also from elsewhere; 0 if none is.
+	Position func() int64
 }
 
+// pausedCheckInterval is how often a paused Follower checks whether it still is.
+const pausedCheckInterval = 100 * time.Millisecond
+
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context, c Client) {
 	delays := backoff.NewExponentialBackOff()
 	delays.InitialInterval, delays.MaxInterval = initialBackoff, maxBackoff
-	version, full, failing := int64(0), true, false
+	version, full, compacted, failing, resumed := int64(0), true, false, false, false
 	for ctx.Err() == nil {
+		if f.Paused != nil && f.Paused() {
+			resumed = true
+			pause(ctx, pausedCheckInterval)
+			continue
+		}
+		if f.Position != nil {
+			version = f.Position()
+			full = version == 0 || compacted
+		}
 		started := f.Now()
 		wait := f.PollWait
-		if failing {
-			wait = 0 // a held call to a store that does not respond would hide its return
+		if failing || resumed {
+			// A held call to a store that does not respond would hide its return, and
+			// after a pause the table is already old.
+			wait, resumed = 0, false
 		}
 		update, err := f.next(ctx, c, version, full, wait)
 		switch {
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, ErrHistoryCompacted):
-			full = true
+			full, compacted = true, true
 			continue
 		case err != nil:
 			if !failing {
@@ -83,7 +102,7 @@
 		if failing {
 			f.OnRecovered()
 		}
-		failing, full, version = false, false, update.Version
+		failing, full, compacted, version = false, false, false, update.Version
 		delays.Reset()
 		f.Apply(update)
 		pause(ctx, f.MinInterval()-f.Now().Sub(started))
