Play relays with old rows for longer than the revocation bound

With the ages of a relay's rows ignored the fault cases still passed: the keys were in force again before the bound. Relays now keep old rows for two seconds longer; the case in which the store refuses both relays fails with that mutation, and TestEntriesStayReadyWithoutTheirRelays without the fallback to the store.

--- a/internal/site/relays_test.go
+++ b/internal/site/relays_test.go
@@ -24,6 +24,9 @@
 	return relays
 }
 
+// relaysAway is how long relays have old rows while keys are revoked.
+const relaysAway = revocation + 2*time.Second
+
 // relayFaultCases returns the faults of a zone's relays. They overlap with changes
 // that must reach the zone's other entries nevertheless.
 func relayFaultCases() []faultCase {
@@ -48,9 +51,10 @@
 		}},
 		{"both relays frozen, keys revoked meanwhile", func(s *site) func() {
 			for _, m := range s.relaysOf("a") {
-				s.freeze(m, faultDuration)
+				s.freeze(m, relaysAway)
 			}
 			s.setRevocableKeys()
+			time.Sleep(relaysAway)
 			return func() { s.setRevocableKeys("k-" + revocableOrganisation) }
 		}},
 		{"a relay frozen, wakes with old rows", func(s *site) func() {
@@ -61,6 +65,7 @@
 		{"the store refuses both relays, keys revoked meanwhile", func(s *site) func() {
 			s.setStoreFaults(standin.StoreFaults{RejectedEntries: map[string]bool{"a-1": true, "a-2": true}})
 			s.setRevocableKeys()
+			time.Sleep(relaysAway) // the checker reports requests that arrive after the bound
 			return func() {
 				s.setStoreFaults(standin.StoreFaults{})
 				s.setRevocableKeys("k-" + revocableOrganisation)
