--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -79,8 +79,8 @@
 func (m *members) count() int { return int(m.live.Load()) }
 
 // run writes the entry's row at its start. After that it renews and reads the rows
-// while it reads the store, or while another entry might need it for that; a relay
-// renews the rows of the entries that it relays for.
+// only while the entry follows the store. Otherwise a relay renews its row, and
+// passes the list of live entries on.
 func (m *members) run(ctx context.Context) {
 	m.renew(ctx)
 	m.read(ctx)
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -55,7 +55,8 @@
 	roster uint64
 	// links holds the relays of this entry, by address. It is nil after closeAll.
 	links map[string]*relayLink
-	// freshAt is when a relay last had recent rows, or when it became one.
+	// freshAt is when a relay last sent recent rows, or when the live entries became
+	// known.
 	freshAt time.Time
 	// nextProbe is when the store is called next while it responds to nobody.
 	nextProbe time.Time
@@ -75,7 +76,7 @@
 	pending bool
 }
 
-// asker is an entry that gets its rows from this one.
+// asker is an entry that gets the store's rows from this one.
 type asker struct {
 	// sessions are the entry's row and those of the entries that it relays for.
 	sessions [][]byte
@@ -277,8 +278,9 @@
 	}
 }
 
-// apply applies a relay's reply and reports whether its rows are recent. Everything
-// that it says was true at sentAt less the age that it states.
+// apply applies a relay's reply and reports whether its rows are recent. The relay
+// computed the ages after sentAt, so a table includes every change before sentAt less
+// its age.
 func (rs *relays) apply(r *peer.SyncReply, sentAt time.Time, withLoads bool) bool {
 	g := rs.gateway
 	now := g.bootClock()
