Decide by no server records that are older than the lease

With relays a process that starts again gets its first server records from the zone's first relay, and applied them whatever their age. In records of before a group was formed, its leader is not in it, and the recorded group was taken for over.

A view that may lack changes from before the lease was taken counts as unread now.

--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -74,6 +74,8 @@
 	domains map[registry.GroupID]string
 	// now is the time of the current step.
 	now time.Time
+	// earliestView is the time that a view must include every change before.
+	earliestView time.Time
 	// obsoleteRecords lists the groups whose record can be deleted.
 	obsoleteRecords []registry.GroupID
 	// bootstrapping reports that no request has arrived yet since the first start
@@ -215,12 +217,17 @@
 // request.
 func (c *Controller) SetBootstrapping(bootstrapping bool) { c.bootstrapping = bootstrapping }
 
+// IgnoreViewsBefore makes the controller ignore views that may lack changes before
+// the time at which it took the recorded groups over. Such a view can be of a time
+// before a recorded group was formed, and its leader seem to have left.
+func (c *Controller) IgnoreViewsBefore(t time.Time) { c.earliestView = t }
+
 // Step decides what to do next from the registry view, the service's engine
 // settings and the probe results.
 func (c *Controller) Step(now time.Time, v *registry.View, service string, e *routes.Engine, probe func(id string) ProbeResult) Decision {
 	c.now = now
 	d := &Decision{}
-	if v.Version == 0 {
+	if v.Version == 0 || v.AsOf.Before(c.earliestView) {
 		c.restartTimers(now)
 		return *d
 	}
@@ -246,8 +253,8 @@
 	return *d
 }
 
-// restartTimers restarts the phase timers while no server record has been read,
-// so that groups do not time out in the meantime.
+// restartTimers restarts the phase timers while no recent server records have been
+// read, so that groups do not time out in the meantime.
 func (c *Controller) restartTimers(now time.Time) {
 	for _, g := range c.groups {
 		g.Since = now
--- a/internal/formation/restore_test.go
+++ b/internal/formation/restore_test.go
@@ -73,3 +73,26 @@
 	require.Equal(t, 2, w.openGroups("large"))
 	require.Empty(t, w.servers.Violations)
 }
+
+// Guards against two serving groups that share a member. A process that starts again
+// and takes the lease back gets its first server records from a relay that has been
+// cut off from the store for seconds. In them the leader of a group that was formed
+// since is in no group; the group must not be taken for over.
+func TestNothingIsDecidedByRecordsOlderThanTheLease(t *testing.T) {
+	w := newSimulation(20)
+	old := w.reg.View() // of before the groups were formed
+	w.run(10*time.Second, noDelay)
+	w.newController()
+	w.controller.IgnoreViewsBefore(w.now)
+	for range 20 {
+		w.now = w.now.Add(tick)
+		require.Empty(t, w.decide(old))
+	}
+	w.publish()
+	w.run(10*time.Second, noDelay)
+	require.Empty(t, w.servers.Violations)
+	require.Len(t, w.records, 6, "the groups were taken over")
+	for _, id := range sortedIDs(w.records) {
+		require.Less(t, id.Epoch, int64(2<<20), "the groups of the first controller are kept")
+	}
+}
