Report a cancelled context as the reason of an unsent request

It cancels after 1 ms; when that came before the request was written, Do reported the connection that the cancellation had closed instead of the cancellation, as it does while it reads. And the test's server used a request that it could not read, which ended the test process.

TestACancelledContextIsTheReasonOfAnUnsentRequest failed before.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -211,10 +211,13 @@
 func TestACancelledContextClosesTheConnection(t *testing.T) {
 	closed := make(chan struct{})
 	p := pool(t, nil, func(in *bufio.Reader, conn net.Conn) {
-		r, _ := http.ReadRequest(in)
+		defer close(closed)
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return // the pool closed its end before the request was written
+		}
 		_, _ = io.Copy(io.Discard, r.Body)
 		_, _ = conn.Read(make([]byte, 1)) // returns when the pool closes its end
-		close(closed)
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() {
@@ -226,6 +229,16 @@
 	<-closed
 }
 
+// A context that ends while the request is written, to a server that does not read,
+// is the reason of the failure, not the connection that it closed.
+func TestACancelledContextIsTheReasonOfAnUnsentRequest(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	p := pool(t, nil, func(*bufio.Reader, net.Conn) { cancel() })
+	_, failure := p.Do(ctx, server, request, matches, false)
+	require.Equal(t, backend.Unsent, failure.Stage)
+	require.ErrorIs(t, failure, context.Canceled)
+}
+
 func TestConnectionsAreBoundedAndIdleOnesExpire(t *testing.T) {
 	now := time.Unix(1000, 0)
 	p := pool(t, []backend.Option{backend.WithNow(func() time.Time { return now })}, respond(
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -106,6 +106,9 @@
 			stage = Unsent
 		}
 		x.Abort()
+		if ctx.Err() != nil {
+			err = ctx.Err()
+		}
 		return nil, &Failure{Stage: stage, Fresh: isFresh, Err: err}
 	}
 	if err := x.readHead(r.Method, func(resp *http.Response) bool { return matches(resp, !isFresh) }); err != nil {
