Log the request limits that servers name, and the attempts at them

Nothing in the logs told whether entries see a limit, nor how much of a server's rate is whose. Event 415 on each change, event 416 for invalid values, two counters, and a note at each attempt. No request is handled differently.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -53,6 +53,8 @@
 	GroupPhaseChanged        = Event{412, logrus.InfoLevel, "replica group phase changed"}
 	ServerUnresponsive       = Event{413, logrus.WarnLevel, "backend server does not respond to probes"}
 	ServerResponsive         = Event{414, logrus.InfoLevel, "backend server responds to probes again"}
+	LimitChanged             = Event{415, logrus.InfoLevel, "backend server's request limit changed"}
+	LimitInvalid             = Event{416, logrus.WarnLevel, "backend server named an invalid request limit: it is ignored"}
 	AttemptBroken            = Event{504, logrus.WarnLevel, "attempt of a streamed response broke off; its server was probed"}
 	PartQuarantined          = Event{505, logrus.WarnLevel, "prompt part in quarantine: requests with it are rejected"}
 	PartReleased             = Event{506, logrus.InfoLevel, "prompt part released from quarantine"}
@@ -74,6 +76,6 @@
 		ConfigApplied, ConfigRejected, ConfigFromPeer, ConfigSnapshot, SnapshotFailed,
 		ProvisionalOrderAccepted, ProvisionalOrderRecorded,
 		LogLinesDropped, SettingsReloaded, SettingsRejected, ServerRecordChanged, ServerRecordStale, ControllerLeaseAcquired, ControllerLeaseLost,
-		OrderSent, GroupPhaseChanged, ServerUnresponsive, ServerResponsive, RequestServed, EvacuatedZonesChanged,
+		OrderSent, GroupPhaseChanged, ServerUnresponsive, ServerResponsive, LimitChanged, LimitInvalid, RequestServed, EvacuatedZonesChanged,
 	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/hibiscuspulley/hibiscuspulley/internal/backend"
@@ -126,7 +127,16 @@
 		info := g.platform.Protocol.DecodeResponse(resp.Header, resp.StatusCode)
 		return info.ID == c.info.ID || (info.ID == "" && !info.Signed && (!reused || info.NotRun))
 	}
-	return g.pool.Do(ctx, g.backendServer(res.Server), &request, matches, newConn)
+	if limit := g.limits.book.Rate(res.Server.Incarnation()); limit > 0 {
+		g.metrics.limitedSends.Add(1)
+		c.addNote(res.Server.ID + " limit " + strconv.FormatFloat(limit, 'g', 4, 64) + "/s")
+	}
+	x, failure := g.pool.Do(ctx, g.backendServer(res.Server), &request, matches, newConn)
+	if failure == nil {
+		status := x.Response.StatusCode
+		g.limits.observe(time.Now(), res.Server, status, g.platform.Protocol.DecodeResponse(x.Response.Header, status))
+	}
+	return x, failure
 }
 
 // backendServer returns the server with this entry's part of the service's
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,6 +101,7 @@
 	members     *members
 	crashes     *crashDetector
 	isolation   *isolation
+	limits      *limits
 	buffers     responseBuffers
 	// peers exchanges in-flight loads with the other entries.
 	peers    *peers
@@ -163,6 +164,8 @@
 	g.peers = newPeers(g)
 	g.crashes = newCrashDetector(g)
 	g.isolation = newIsolation(g)
+	g.limits = newLimits(g)
+	g.limits.publish(g.metrics.vars)
 	g.isolation.publish(g.metrics.vars)
 	g.tables = newTables(g)
 	g.relays = newRelays(g)
@@ -284,7 +287,10 @@
 }
 
 func (g *Gateway) sweep(ctx context.Context) {
-	every(ctx, sweepInterval, g.pool.CloseExpired)
+	every(ctx, sweepInterval, func() {
+		g.pool.CloseExpired()
+		g.limits.forgetUnlisted(time.Now(), g.registry.View())
+	})
 }
 
 // lastAddress returns the last known address of a server whose record was
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -20,6 +20,8 @@
 	// heldBack counts the requests that were rejected because of a prompt part in
 	// quarantine.
 	heldBack expvar.Int
+	// limitedSends counts the attempts at servers that name a request limit.
+	limitedSends expvar.Int
 
 	// waited is the time that each attempt spent in the queue, whether or not it
 	// got a reservation. first is the time to the first event of a stream, or to
@@ -44,6 +46,7 @@
 	m.vars.Set("reports", &m.probes)
 	m.vars.Set("server-crashes", &m.crashes)
 	m.vars.Set("quarantine-rejections", &m.heldBack)
+	m.vars.Set("limited-sends", &m.limitedSends)
 	return m
 }
 
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -58,6 +58,11 @@
 	Signed bool
 	// NotRun is set if the server states that the request did not run.
 	NotRun bool
+	// Limit is the number of requests per second that the server takes from all
+	// entries together, or 0 if it names no limit. If it names an invalid one,
+	// InvalidLimit tells why it is ignored.
+	Limit        float64
+	InvalidLimit error
 }
 
 // Protocol decodes and encodes the headers of requests and responses.
