Failing tests: servers that name a request limit get more than it

Entries in virtual time, in small zones and in zones with relays, with limits of 1, 1.5 and 3.5 requests a second on servers of both services. The checker counts every entry, also one that has not heard of the limit yet: stricter than the users' rule.

--- a/internal/site/callers_test.go
+++ b/internal/site/callers_test.go
@@ -37,7 +37,9 @@
 	cancelShare float64
 	cancelAfter time.Duration
 	retryShare  float64
-	results     []result
+	// perZone is the number of requests that are sent every callEvery in each zone.
+	perZone int
+	results []result
 }
 
 // result is the outcome of a request.
@@ -55,7 +57,12 @@
 
 func (c *callers) run(zone string) {
 	for !c.site.done() {
-		c.wg.Go(func() { c.request(zone) })
+		c.mu.Lock()
+		n := c.perZone
+		c.mu.Unlock()
+		for range n {
+			c.wg.Go(func() { c.request(zone) })
+		}
 		time.Sleep(callEvery)
 	}
 }
@@ -67,6 +74,12 @@
 	}
 }
 
+func (c *callers) setLoad(perZone int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.perZone = perZone
+}
+
 func (c *callers) setBehaviour(cancelShare float64, cancelAfter time.Duration, retryShare float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/site/checker_test.go
+++ b/internal/site/checker_test.go
@@ -43,6 +43,8 @@
 //   - REFUSED: an unsafe request that was rejected was not executed.
 //   - GONE: servers stop work on cancelled requests; finish tolerates some.
 //   - DENIED: requests with valid keys are not denied; finish tolerates some.
+//   - LIMIT: a server that names a request limit gets few requests more than that;
+//     see limitArrival.
 //   - BUDGET: the limits on attempts (checkAttempts) and on retries (checkRetries)
 //     are kept.
 type checker struct {
@@ -76,6 +78,8 @@
 	// deadlyCrashes when a server crashed on it, by part.
 	deadlyArrivals map[string][]time.Time
 	deadlyCrashes  map[string][]time.Time
+	// limited holds what is known about the request limits of servers, by ID.
+	limited map[string]*limitedServer
 }
 
 func newChecker() *checker {
@@ -85,7 +89,7 @@
 		evacuatedAt: map[string]time.Time{}, drainingSince: map[string]time.Time{}, cancelledAt: map[string]time.Time{},
 		workedAfterCancel: map[string]bool{}, seen: map[string]bool{}, requests: map[string][]time.Time{},
 		retries: map[string][]time.Time{}, coldArrivals: map[string][]time.Time{}, keysChangedFor: map[string]bool{},
-		deadlyArrivals: map[string][]time.Time{}, deadlyCrashes: map[string][]time.Time{},
+		deadlyArrivals: map[string][]time.Time{}, deadlyCrashes: map[string][]time.Time{}, limited: map[string]*limitedServer{},
 	}
 }
 
@@ -196,6 +200,7 @@
 		c.retries[host.Service] = append(c.retries[host.Service], now)
 	}
 	c.seen[id] = true
+	c.limitArrival(host.ID, now)
 	if now.Before(coldUntil) {
 		c.coldArrival(host.ID, now)
 	}
--- /dev/null
+++ b/internal/site/limit_test.go
@@ -0,0 +1,176 @@
+package site_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/standin"
+)
+
+const (
+	// limitSettles is how long after a server named its limit it may still get any
+	// number of requests. In each limitWindow after that it may get limitOvershoot
+	// times what the limit allows and limitSlack requests more.
+	limitSettles   = 3 * time.Second
+	limitWindow    = 4 * time.Second
+	limitOvershoot = 1.5
+	limitSlack     = 5
+	// minLimitUse is the share of its limit that a server must get while more
+	// requests wait than all servers together take.
+	minLimitUse = 0.8
+)
+
+// limitedServer holds the requests to a server that names a request limit.
+type limitedServer struct {
+	limit float64
+	// namedAt is when the server named a limit after it had none, or a lower one.
+	namedAt  time.Time
+	arrivals []time.Time
+}
+
+// limitNamed records that a server begins to name a limit, or another one, or none.
+// Each lower limit has its own settling time.
+func (c *checker) limitNamed(host *standin.Host, limit float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.limited[host.ID]
+	if l == nil {
+		l = &limitedServer{}
+		c.limited[host.ID] = l
+	}
+	if limit > 0 && (l.limit == 0 || limit < l.limit) {
+		l.namedAt = time.Now()
+	}
+	l.limit = limit
+}
+
+// limitArrival checks a request that reaches a server against its limit, whichever
+// entry it comes from. The caller holds c.mu.
+func (c *checker) limitArrival(id string, now time.Time) {
+	l := c.limited[id]
+	if l == nil || l.limit == 0 {
+		return
+	}
+	l.arrivals = append(l.arrivals, now)
+	from := l.namedAt.Add(limitSettles)
+	n := 0
+	for _, at := range l.arrivals {
+		if at.After(from) && now.Sub(at) < limitWindow {
+			n++
+		}
+	}
+	if allowed := limitOvershoot*l.limit*limitWindow.Seconds() + limitSlack; float64(n) > allowed {
+		c.addViolation("LIMIT: %d requests in %s at server %s, which named %.1f a second; allowed %.0f", n, limitWindow, id, l.limit, allowed)
+	}
+}
+
+// limitUse returns the requests that the servers got in [from, to), as a share of
+// what their present limits allow.
+func (c *checker) limitUse(from, to time.Time, ids []string) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	got, allowed := 0.0, 0.0
+	for _, id := range ids {
+		l := c.limited[id]
+		allowed += l.limit * to.Sub(from).Seconds()
+		for _, at := range l.arrivals {
+			if !at.Before(from) && at.Before(to) {
+				got++
+			}
+		}
+	}
+	return got / allowed
+}
+
+// leaders returns the servers that lead an open group, and those of the plain
+// service.
+func (s *site) leaders(zone string) (leaders, plain []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, id := range s.hosts.IDs() {
+		h := s.hosts.ByID[id]
+		switch {
+		case h.Zone != zone || !h.Alive:
+		case h.Service != streamService:
+			plain = append(plain, id)
+		case h.Member != nil && h.Member.Members[0] == id:
+			leaders = append(leaders, id)
+		}
+	}
+	return leaders, plain
+}
+
+// setLimits sets the limit that the servers name; 0 for none.
+func (s *site) setLimits(ids []string, limit float64) {
+	for _, id := range ids {
+		s.setFaults(id, serverFaults{limit: limit})
+	}
+}
+
+// Guards against servers that get far more requests than the limit they name,
+// because entries don't read it, or keep within it one by one and pass it together.
+func TestServersGetNoMoreThanTheLimitTheyName(t *testing.T) {
+	t.Parallel()
+	for name, entries := range map[string]int{"small zones": entriesPerZone, "zones with relays": relayedEntriesPerZone} {
+		for _, limit := range []float64{1, 3.5} {
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					s := newSiteOf(t, *seed, entries)
+					defer s.stop()
+					s.run()
+					s.callers.setLoad(5)
+					time.Sleep(3 * time.Second)
+					leaders, plain := s.leaders("a")
+					others, _ := s.leaders("b")
+					s.setLimits(leaders, limit)
+					s.setLimits(others[:1], limit)
+					s.setLimits(plain, limit)
+					time.Sleep(14 * time.Second)
+					s.stop()
+					require.Empty(t, s.violations())
+				})
+			})
+		}
+	}
+}
+
+// Guards against shares of a limit that stay unused at entries without requests while
+// others wait, and against a limit that outlives its last response.
+func TestTheLimitsThatServersNameAreUsed(t *testing.T) {
+	t.Parallel()
+	for name, entries := range map[string]int{"small zones": entriesPerZone, "zones with relays": relayedEntriesPerZone} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				s := newSiteOf(t, *seed, entries)
+				defer s.stop()
+				s.run()
+				s.callers.setLoad(4)
+				time.Sleep(3 * time.Second)
+				var limited []string
+				for _, zone := range zones {
+					leaders, _ := s.leaders(zone)
+					limited = append(limited, leaders...)
+				}
+				s.setLimits(limited, 1.5)
+				time.Sleep(limitSettles)
+				from := time.Now()
+				time.Sleep(10 * time.Second)
+				use := s.checker.limitUse(from, time.Now(), limited)
+				s.setLimits(limited, 0)
+				time.Sleep(2 * time.Second)
+				lifted := time.Now()
+				time.Sleep(6 * time.Second)
+				share, failures := s.callers.servedShare(lifted, lifted.Add(4*time.Second), func(result) bool { return true })
+				s.stop()
+				require.Empty(t, s.violations())
+				require.GreaterOrEqual(t, use, minLimitUse)
+				require.GreaterOrEqual(t, share, minServedShare, failures)
+			})
+		})
+	}
+}
--- a/internal/site/requests_test.go
+++ b/internal/site/requests_test.go
@@ -70,6 +70,9 @@
 	defer s.mu.Unlock()
 	h := s.hosts.ByID[srv.id]
 	s.checker.requestArrived(r.Header, h, srv.coldUntil)
+	if srv.faults.limit > 0 {
+		w.Header().Set(limitHeader, strconv.FormatFloat(srv.faults.limit, 'f', 2, 64))
+	}
 	if h.Service == streamService {
 		m := h.Member
 		if m == nil || m.State != registry.Open || m.Members[0] != h.ID || m.Model != r.Header.Get("Weights") {
@@ -138,7 +141,11 @@
 		return
 	}
 	defer conn.Close()
-	response := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nReceipt: 1\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+	response := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nReceipt: 1\r\n", id)
+	if limit := w.Header().Get(limitHeader); limit != "" {
+		response += limitHeader + ": " + limit + "\r\n"
+	}
+	response += fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
 	_, _ = io.WriteString(conn, response+strings.ReplaceAll(response, id, "another")) // fails if the reader has gone
 }
 
--- a/internal/site/server_test.go
+++ b/internal/site/server_test.go
@@ -22,6 +22,7 @@
 	coldTime          = 2 * time.Second
 	coldRate          = 8
 	notRunHeader      = "Not-Run"
+	limitHeader       = "Limit"
 )
 
 // serverFaults are the injected faults of one backend server.
@@ -40,6 +41,8 @@
 	// corrupt is the share of responses that are truncated, have no signature,
 	// belong to another request or are followed by extra bytes.
 	corrupt float64
+	// limit is the request limit that the server names, in requests per second.
+	limit float64
 }
 
 // server is the HTTP server of one incarnation of a backend server. The hosts
@@ -160,6 +163,9 @@
 	if f.cut {
 		s.checker.incarnationLost(s.hosts.ByID[id]) // executions at unreachable servers don't count as attempts
 	}
+	if f.limit != srv.faults.limit {
+		s.checker.limitNamed(s.hosts.ByID[id], f.limit)
+	}
 	srv.faults = f
 }
 
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -89,7 +89,7 @@
 		}),
 		config: firstConfig(),
 	}
-	s.callers = callers{site: s}
+	s.callers = callers{site: s, perZone: 1}
 	s.putConfig()
 	for _, zone := range zones {
 		for i := range 12 {
