Ask for a grant when a request arrives that a limited server serves best

Cause: an entry of a large zone sends about one request a second to a model, so that most grants given in advance expired unused. An entry now asks the lead when a request arrives, within a zone's round trip; only an entry that can't call its lead still asks in advance.

--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -192,6 +192,7 @@
 			continue
 		}
 		score, fits := b.score(now, s, service, r)
+		fits = fits && b.grants.Allows(now, s.Incarnation())
 		if fits && (best == nil || score < bestScore || (score == bestScore && s.ID < best.ID)) {
 			best, bestScore = s, score
 		}
@@ -238,7 +239,7 @@
 
 // score ranks the server for the request; the lowest score wins. Servers of
 // other zones and servers that failed requests rank lower. It reports false if
-// the server can't take the request now.
+// the server can't take the request now, request limits aside.
 func (b *Balancer) score(now time.Time, s *registry.Server, service *routes.Service, r Requirements) (float64, bool) {
 	if s.Leaving || b.excluded[s.Zone] || r.Tried[s.ID] {
 		return 0, false
@@ -251,7 +252,7 @@
 		slots = service.Engine.Slots
 	}
 	l := b.load(s)
-	if l.unresponsive(now) || !b.coldRateAllows(now, s, l, service.ColdRate) || !b.grants.Allows(now, s.Incarnation()) {
+	if l.unresponsive(now) || !b.coldRateAllows(now, s, l, service.ColdRate) {
 		return 0, false
 	}
 	slots = max(slots, 1)
--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -52,7 +52,7 @@
 		}
 		if l.unresponsive(now) {
 			capacity.Unresponsive++
-		} else if _, fits := b.score(now, s, service, Requirements{Service: r.Service, Model: r.Model, remoteShare: maxRemoteShare}); !fits {
+		} else if _, fits := b.score(now, s, service, Requirements{Service: r.Service, Model: r.Model, remoteShare: maxRemoteShare}); !fits || !b.grants.Allows(now, s.Incarnation()) {
 			capacity.Full++
 		}
 	}
--- a/internal/dispatch/limited.go
+++ b/internal/dispatch/limited.go
@@ -1,6 +1,9 @@
 package dispatch
 
 import (
+	"math"
+	"time"
+
 	"github.com/hibiscuspulley/hibiscuspulley/internal/quota"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/registry"
 )
@@ -42,3 +45,33 @@
 	}
 	return list
 }
+
+// PrefersLimited reports whether a server of the zones would take the request before
+// all that this entry may send to, if it had a grant for it.
+func (b *Balancer) PrefersLimited(now time.Time, r Requirements, owned func(zone string) bool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.table == nil {
+		return false
+	}
+	service := b.table.Service(r.Service)
+	if service == nil {
+		return false
+	}
+	r.remoteShare = maxRemoteShare
+	best, limited := math.Inf(1), math.Inf(1)
+	for _, s := range b.view.Servers {
+		if s.Service != r.Service {
+			continue
+		}
+		score, fits := b.score(now, s, service, r)
+		switch {
+		case !fits:
+		case b.grants.Allows(now, s.Incarnation()):
+			best = min(best, score)
+		case owned(s.Zone):
+			limited = min(limited, score)
+		}
+	}
+	return limited < best
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -52,6 +52,7 @@
 		return nil
 	}
 	started := time.Now()
+	g.limits.ask(ctx, requirements)
 	res := queue.Wait(ctx, queued, func(now time.Time) *dispatch.Reservation {
 		requirements.Overdue = !queued.DueAt.IsZero() && now.After(queued.DueAt)
 		return g.balancer.Reserve(now, requirements)
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"expvar"
 	"math"
 	"net/http"
@@ -11,6 +12,7 @@
 
 	"github.com/hibiscuspulley/hibiscuspulley/internal/dispatch"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/event"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/peer"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/quota"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/registry"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/relay"
@@ -31,6 +33,9 @@
 	// demandPeriod is the time for which requests that are likely to arrive are asked
 	// for in advance: until the entry asks again and has the reply.
 	demandPeriod = 200 * time.Millisecond
+	// askTimeout is how long a request that has just arrived waits for a grant. A round
+	// trip within a zone takes a few milliseconds.
+	askTimeout = 30 * time.Millisecond
 	// limitedServersTTL is how long the list of servers with limits is used again.
 	limitedServersTTL = 40 * time.Millisecond
 	// allLimitsInterval is the time between two exchanges of all limits with the same
@@ -228,15 +233,67 @@
 	return list
 }
 
-// demand returns what this entry's requests of the pool need beyond its grants.
-func (l *limits) demand(now time.Time, pool quota.Pool, servers []dispatch.LimitedServer) quota.Demand {
+// ask asks the zone's lead for a grant for a request that has just arrived, if the
+// server that would serve it best has a limit. It waits at most askTimeout; then the
+// request goes to another server or waits in the queue.
+func (l *limits) ask(ctx context.Context, r dispatch.Requirements) {
+	now := time.Now()
+	if l.book.Limited() == 0 || !l.gateway.balancer.PrefersLimited(now, r, func(zone string) bool { return zone == l.gateway.settings.Zone }) {
+		return
+	}
+	lead, share := l.lead(now)
+	demand := quota.Demand{Pool: quota.Pool{Service: r.Service, Model: r.Model}, Expected: 1}
+	if share > 0 {
+		l.holder.Add(now, l.allocator.Grant(now, quota.Asker{Name: lead}, demand, l.owned(l.pools(now)[demand.Pool], share)))
+		return
+	}
+	link := l.linkTo(lead)
+	if link == nil {
+		return
+	}
+	replied := make(chan struct{})
+	l.gateway.spawn(func() {
+		defer close(replied)
+		// A call whose context ends closes the link, so it has the link's own timeout.
+		reply, err := link.Call(context.Background(), peer.Request{Sync: &peer.Sync{
+			Entry: l.gateway.settings.Name, Roster: l.gateway.relays.fingerprint(),
+			Quota: quota.Message{Demands: []quota.Demand{demand}},
+		}})
+		// The link logs a lost connection.
+		if err == nil && reply.Sync != nil {
+			l.accept(time.Now(), lead, reply.Sync.Quota.Grants)
+		}
+	})
+	timer := time.NewTimer(askTimeout)
+	defer timer.Stop()
+	select {
+	case <-replied:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// linkTo returns the link to a hub of the zone on which this entry can ask at any time,
+// or nil.
+func (l *limits) linkTo(hub string) *peer.Link {
+	if link := l.gateway.relays.linkTo(hub); link != nil {
+		return link
+	}
+	return l.gateway.peers.linkTo(hub)
+}
+
+// demand returns what this entry's requests of the pool need beyond its grants. It asks
+// in advance only if it can't ask when a request arrives.
+func (l *limits) demand(now time.Time, pool quota.Pool, servers []dispatch.LimitedServer, canAsk bool) quota.Demand {
 	queue := l.gateway.queues.Queue(pool.Service, pool.Model)
 	held := 0
 	for _, s := range servers {
 		held += l.holder.Held(now, s.Incarnation())
 	}
-	waiting := queue.Length()
-	expected := int(math.Ceil(float64(queue.Dispatched()) * demandPeriod.Seconds()))
+	waiting, expected := queue.Length(), 0
+	if !canAsk {
+		expected = int(math.Ceil(float64(queue.Dispatched()) * demandPeriod.Seconds()))
+	}
 	return quota.Demand{
 		Pool: pool, Waiting: max(waiting-held, 0), Expected: max(expected-max(held-waiting, 0), 0),
 	}
@@ -262,7 +319,7 @@
 	l.holder.Contact(now)
 	granted := false
 	for pool, servers := range pools {
-		grants := l.allocator.Grant(now, quota.Asker{Name: name}, l.demand(now, pool, servers), l.owned(servers, share))
+		grants := l.allocator.Grant(now, quota.Asker{Name: name}, l.demand(now, pool, servers, true), l.owned(servers, share))
 		l.holder.Add(now, grants)
 		granted = granted || len(grants) > 0
 	}
@@ -285,7 +342,7 @@
 		var d quota.Demand
 		switch {
 		case name == lead:
-			d = l.demand(now, pool, servers)
+			d = l.demand(now, pool, servers, l.linkTo(name) != nil)
 			d.Waiting += l.allocator.Waiting(now, pool)
 		case share > 0 && zone != l.gateway.settings.Zone:
 			d = quota.Demand{Pool: pool, Waiting: l.allocator.Waiting(now, pool)}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -238,6 +238,19 @@
 	return quota.Message{WantAll: all, Limits: l.book.Report(now, all), Demands: l.demands(now, p.name, p.zone), Grants: grants}
 }
 
+// linkTo returns the link to a hub that this entry sends exchange requests to if it is
+// connected, or nil.
+func (ps *peers) linkTo(name string) *peer.Link {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	for _, p := range ps.links {
+		if p.name == name && p.link.Connected() {
+			return p.link
+		}
+	}
+	return nil
+}
+
 // subtreeLoads returns the loads to send to a hub of the zone, or to this entry's
 // relay if zone is empty: for each relevant server, the number of in-flight requests
 // of this entry and of those that it relays for, and whether the server is stalled.
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -319,6 +319,18 @@
 	return ""
 }
 
+// linkTo returns the link to a relay of this entry if it is connected, or nil.
+func (rs *relays) linkTo(name string) *peer.Link {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	for _, l := range rs.links {
+		if l.entry.Name == name && l.link.Connected() {
+			return l.link
+		}
+	}
+	return nil
+}
+
 // apply applies a relay's reply and reports whether its rows are recent. The relay
 // computed the ages after sentAt, so a table includes every change before sentAt less
 // its age.
--- a/internal/site/limit_test.go
+++ b/internal/site/limit_test.go
@@ -176,6 +176,41 @@
 	}
 }
 
+// Pattern: many entries that each send rarely, and servers without a limit that have
+// room. A server with a limit must get what it names all the same, instead of idling
+// while grants for it expire at entries without requests.
+func TestLimitsAreUsedByEntriesThatRarelySend(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := newSiteOf(t, *seed, 3*relayedEntriesPerZone)
+		defer s.stop()
+		s.run()
+		s.callers.setLoad(2)
+		time.Sleep(3 * time.Second)
+		leaders, _ := s.leaders("a")
+		byModel := map[string][]string{}
+		s.mu.Lock()
+		for _, id := range leaders {
+			model := s.hosts.ByID[id].Member.Model
+			byModel[model] = append(byModel[model], id)
+		}
+		s.mu.Unlock()
+		var limited []string
+		for _, ids := range byModel {
+			require.Greater(t, len(ids), 1)
+			limited = append(limited, ids[0])
+		}
+		s.setLimits(limited, 1)
+		time.Sleep(limitSettles)
+		from := time.Now()
+		time.Sleep(20 * time.Second)
+		use := s.checker.limitUse(from, time.Now(), limited)
+		s.stop()
+		require.Empty(t, s.violations())
+		require.GreaterOrEqual(t, use, minLimitUse)
+	})
+}
+
 // entryDisturbances is the number of limitDisturbances that befall entries. They are
 // played in zones with relays, the others in small zones.
 const entryDisturbances = 7
