Don't blame servers for requests that have run out of time

At 10.03 s an entry resumed a stream whose time was over; each dial failed at once with a timeout, and the breakers of three servers tripped. All entries then avoided them, since the entry that reported them had no reason to try again.

An unsent attempt of a request whose time is over, or whose caller has gone, no longer counts against the server, and no further server is tried for it. TestARequestThatRunsOutOfTimeDoesNotBlameTheServer failed before: the next request waited 1.12 s for a server that was idle.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -199,6 +199,13 @@
 	return n < c.route.MaxAttempts
 }
 
+// ended reports whether the request's caller has gone or its time is over. A failure to
+// send it then says nothing about the server.
+func ended(ctx context.Context) bool {
+	deadline, found := ctx.Deadline()
+	return ctx.Err() != nil || (found && !time.Now().Before(deadline))
+}
+
 // copyResponseHeader copies the server's response headers. Before that, it
 // deletes the hop-by-hop headers and Content-Length from the source.
 func copyResponseHeader(to, from http.Header) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -253,6 +253,26 @@
 	})
 }
 
+// Guards against requests that run out of time and make their server look unreachable
+// to the next ones.
+func TestARequestThatRunsOutOfTimeDoesNotBlameTheServer(t *testing.T) {
+	run(t, func(s *site) {
+		s.add("g1", "notes", "large", events(3, nil))
+		s.add("d1", "docking", "", ok)
+	}, func(s *site) {
+		for _, path := range []string{"/notes/1", "/bays/1"} {
+			s.dialDelay.Store(int64(200 * time.Millisecond))
+			late := s.call(s.t.Context(), http.MethodPost, path, "late", map[string]string{"Wait-Ms": "100", "Weights": "large"})
+			require.NotEqual(t, http.StatusOK, late.status)
+			s.dialDelay.Store(0)
+			began := time.Now()
+			next := s.call(s.t.Context(), http.MethodPost, path, "next", map[string]string{"Weights": "large"})
+			require.Equal(t, http.StatusOK, next.status)
+			require.Less(t, time.Since(began), 300*time.Millisecond, path)
+		}
+	})
+}
+
 func TestSafeCallIsRetriedElsewhere(t *testing.T) {
 	abort := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
 	run(t, func(s *site) {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -28,7 +28,7 @@
 	var errorResponse *plainResponse
 	for tries := 0; tries < maxUnsentAttempts+c.route.MaxAttempts; tries++ {
 		isRetry := tries > 0
-		if c.sent > 0 && (c.sent >= c.route.MaxAttempts || !g.takeRetry(c)) {
+		if (isRetry && ended(ctx)) || (c.sent > 0 && (c.sent >= c.route.MaxAttempts || !g.takeRetry(c))) {
 			break
 		}
 		res := g.reserve(ctx, c, "", isRetry)
@@ -94,7 +94,7 @@
 	started := time.Now()
 	result := dispatch.Failed
 	defer func() {
-		if errors.Is(ctx.Err(), context.Canceled) {
+		if errors.Is(ctx.Err(), context.Canceled) || (result == dispatch.Unresponsive && ended(ctx)) {
 			result = dispatch.Cancelled
 		}
 		res.Release(time.Now(), result)
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,6 +36,8 @@
 	logs    *logLines
 	// carryOut stands in for the servers that get orders.
 	carryOut func(ctx context.Context, o formation.Order) (formation.Outcome, error)
+	// dialDelay is how long the entry's connections take to open.
+	dialDelay atomic.Int64
 
 	mu     sync.Mutex
 	config routes.Config
@@ -117,7 +121,7 @@
 			Revocation: revocation, Grace: 8 * time.Second, BrokenAfter: 6 * time.Second, RetrySpan: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 100,
 		},
 	}, s.platform(), logger,
-		gateway.WithListen(s.network.Listener("a")), gateway.WithDial(s.network.Dialer("a")), gateway.WithBootClock(time.Now))
+		gateway.WithListen(s.network.Listener("a")), gateway.WithDial(s.dialSlowly), gateway.WithBootClock(time.Now))
 	require.NoError(s.t, err)
 	s.entry = entry
 	s.client = &http.Client{Transport: &http.Transport{DialContext: s.network.Dialer("a"), DisableCompression: true}}
@@ -125,6 +129,18 @@
 	require.True(s.t, entry.Ready())
 }
 
+// dialSlowly opens a connection after dialDelay.
+func (s *site) dialSlowly(ctx context.Context, network, address string) (net.Conn, error) {
+	timer := time.NewTimer(time.Duration(s.dialDelay.Load()))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return s.network.Dialer("a")(ctx, network, address)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
 func (s *site) stop() {
 	s.entry.Shutdown(context.Background())
 	s.client.CloseIdleConnections()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -67,7 +67,7 @@
 	}
 	retryTaken := false
 	for tries := range maxUnsentAttempts + c.route.MaxAttempts + extraSends {
-		if c.sent > 0 && !retryTaken && !g.takeRetry(c) {
+		if (tries > 0 && ended(ctx)) || (c.sent > 0 && !retryTaken && !g.takeRetry(c)) {
 			break
 		}
 		res := g.reserve(ctx, c, c.info.Model, tries > 0)
@@ -168,7 +168,7 @@
 		switch {
 		case watch.abandoned():
 			outcome, reason = dispatch.Cancelled, "a prompt part came into quarantine"
-		case result == streamUnsent:
+		case result == streamUnsent && !ended(ctx):
 			outcome = dispatch.Unresponsive
 		case result == streamComplete:
 			outcome = dispatch.Served
@@ -176,6 +176,8 @@
 			outcome = dispatch.Rejected
 		case errors.Is(ctx.Err(), context.Canceled):
 			result, outcome = streamCallerGone, dispatch.Cancelled
+		case result == streamUnsent:
+			outcome = dispatch.Cancelled
 		}
 		if result == streamBroken && !watch.stalled() && !watch.abandoned() && ctx.Err() == nil {
 			g.isolation.attemptBroke(ctx, c, res, watch)
