Let other entries try a server that one entry failed to reach

An entry of another zone, or of a large one, may have no request for it; one that needs a grant at a server with a request limit gets none, and then nobody learns that the limit is gone.

A tripped breaker is reported until one second after it allows a trial, and while a trial is in flight. TestAServerIsNotListedAsStalledForLongWithoutATrial failed before.

--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -154,14 +154,14 @@
 	return counts
 }
 
-// Stalled returns the servers whose streams of this entry make no progress, and
-// those whose circuit breaker has tripped since the last progress.
+// Stalled returns the servers that other entries should avoid: those whose streams of
+// this entry make no progress, and those whose circuit breaker has tripped lately.
 func (b *Balancer) Stalled(now time.Time) []registry.Incarnation {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var stalled []registry.Incarnation
 	for inc, load := range b.loads {
-		if load.stalled(now) || load.trips > 0 {
+		if load.reportStalled(now) {
 			stalled = append(stalled, inc)
 		}
 	}
--- a/internal/dispatch/balancer_test.go
+++ b/internal/dispatch/balancer_test.go
@@ -337,3 +337,21 @@
 	require.Equal(t, slots-1, taken)
 	require.Equal(t, map[string]int{"s1": 2}, reserve(b, 10, start), "the last slot and one that waits at the server")
 }
+
+// Guards against one entry that keeps a server from all others: it once failed to reach
+// the server and then has no request of its own to try it with.
+func TestAServerIsNotListedAsStalledForLongWithoutATrial(t *testing.T) {
+	b := balancer(0, leader("g1", "a"))
+	r := b.Reserve(start, notes)
+	require.NotNil(t, r)
+	r.Release(start, dispatch.Unresponsive)
+	require.Len(t, b.Stalled(start.Add(500*time.Millisecond)), 1)
+	require.Nil(t, b.Reserve(start.Add(500*time.Millisecond), notes))
+	require.Empty(t, b.Stalled(start.Add(3*time.Second)))
+	// During a trial, and after a further failure, it is listed again.
+	trial := b.Reserve(start.Add(3*time.Second), notes)
+	require.NotNil(t, trial)
+	require.Len(t, b.Stalled(start.Add(3*time.Second)), 1)
+	trial.Release(start.Add(3*time.Second), dispatch.Unresponsive)
+	require.Len(t, b.Stalled(start.Add(4*time.Second)), 1)
+}
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -18,6 +18,10 @@
 	// unreachable server stays open before one trial request is allowed.
 	minOpen = time.Second
 	maxOpen = 8 * time.Second
+	// trialPeriod is how long after its circuit breaker allows a trial a server is
+	// still reported to other entries as stalled. Without a request of its own, this
+	// entry makes no trial, and others must be able to.
+	trialPeriod = time.Second
 	// failureWeight is the weight of the latest outcome in the moving average
 	// of a server's failure rate.
 	failureWeight = 0.15
@@ -55,6 +59,12 @@
 	return l.inFlight > 0 && now.Sub(l.lastProgress) > stallTimeout
 }
 
+// reportStalled reports whether other entries should avoid the server: it is stalled, or
+// its circuit breaker is open, or its trial is in flight or just due.
+func (l *load) reportStalled(now time.Time) bool {
+	return l.stalled(now) || (l.trips > 0 && (l.inFlight > 0 || now.Before(l.openUntil.Add(trialPeriod))))
+}
+
 // unresponsive reports whether the server must get no request now, because it
 // is stalled, its circuit breaker is open or a trial request is in flight.
 // Another entry's stall counts only without recent progress of this entry's
