Refuse at once what the limits of all servers leave no room for

Pattern: overload at servers that all name low limits. A request waited up to 1.2 s for a grant that could not come, and was refused then: each entry judged its queue by its own, nearly empty one. The lead now tells with its grants how long the requests of the zone will wait; an entry refuses at once what would wait longer than it may, with that wait as Retry-After. Organisations without waiting requests count only the entry's next turn.

--- a/internal/dispatch/limited.go
+++ b/internal/dispatch/limited.go
@@ -75,3 +75,29 @@
 	}
 	return limited < best
 }
+
+// AllLimited reports whether there are servers for the request and all of them have a
+// limit. Those that are full or were tried count too.
+func (b *Balancer) AllLimited(r Requirements) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.table == nil {
+		return false
+	}
+	service := b.table.Service(r.Service)
+	if service == nil {
+		return false
+	}
+	found := false
+	for _, s := range b.view.Servers {
+		switch {
+		case s.Service != r.Service || s.Leaving || b.excluded[s.Zone]:
+		case service.Engine != nil && !s.LeadsOpenGroup(r.Model):
+		case !b.grants.Limited(s.Incarnation()):
+			return false
+		default:
+			found = true
+		}
+	}
+	return found
+}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -53,6 +53,13 @@
 	return time.Duration(float64(ahead) / float64(max(len(q.dispatched), 1)) * float64(rateWindow))
 }
 
+// HasWaiting reports whether requests of the organisation wait.
+func (q *Queue) HasWaiting(organisation string) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.waiting[organisation] > 0
+}
+
 // trimDispatched removes the times that are older than rateWindow.
 func (q *Queue) trimDispatched(now time.Time) {
 	for len(q.dispatched) > 0 && now.Sub(q.dispatched[0]) > rateWindow {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -46,7 +46,8 @@
 		queued.Organisation = c.organisation.Name
 	}
 	queue := g.queues.Queue(c.service, model)
-	if expected := queue.EstimateWait(queued.Organisation); !isRetry && expected > wait {
+	expected := max(queue.EstimateWait(queued.Organisation), g.limits.expectedWait(time.Now(), requirements, queued.Organisation))
+	if !isRetry && expected > wait {
 		c.retryAfter = min(expected, maxRetryAfter)
 		c.addNote("queue too long: expected wait " + expected.Round(time.Millisecond).String())
 		return nil
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -208,7 +208,7 @@
 		ps.gateway.isolation.tracker.Forward(now, reply.Exchange.Parts)
 		limits.heard(now, p.name)
 		limits.merge(sentAt, reply.Exchange.Quota.Limits, p.name)
-		limits.accept(now, p.name, reply.Exchange.Quota.Grants)
+		limits.accept(now, p.name, reply.Exchange.Quota)
 		grants = limits.grant(now, p.name, p.zone, reply.Exchange.Quota.Demands)
 	}
 	ps.mu.Lock()
@@ -353,15 +353,12 @@
 	limits, name, zone := ps.gateway.limits, r.Exchange.Entry, r.Exchange.Zone
 	limits.heard(now, name)
 	limits.merge(now, r.Exchange.Quota.Limits, name)
-	limits.accept(now, name, r.Exchange.Quota.Grants)
+	limits.accept(now, name, r.Exchange.Quota)
 	ps.apply()
 	return peer.Reply{Exchange: &peer.ExchangeReply{
 		Entry: ps.gateway.settings.Name, Zone: ps.gateway.settings.Zone, Ready: ps.gateway.Ready(), Loads: ps.subtreeLoads(zone),
 		Parts: ps.gateway.isolation.tracker.Report(now),
-		Quota: quota.Message{
-			Limits: limits.book.Report(now, r.Exchange.Quota.WantAll), Demands: limits.demands(now, name, zone),
-			Grants: limits.grant(now, name, zone, r.Exchange.Quota.Demands),
-		},
+		Quota: limits.respond(now, name, zone, r.Exchange.Quota),
 	}}
 }
 
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -279,7 +279,7 @@
 	if err == nil && reply.Sync != nil {
 		fresh = rs.apply(reply.Sync, sentAt, request.WantLoads)
 		g.limits.merge(askedAt, reply.Sync.Quota.Limits, l.entry.Name)
-		g.limits.accept(time.Now(), l.entry.Name, reply.Sync.Quota.Grants)
+		g.limits.accept(time.Now(), l.entry.Name, reply.Sync.Quota)
 	}
 	now := g.bootClock()
 	rs.mu.Lock()
@@ -393,10 +393,7 @@
 	g.isolation.tracker.Forward(time.Now(), r.Parts)
 	reply.Parts = g.isolation.tracker.Report(time.Now())
 	g.limits.merge(time.Now(), r.Quota.Limits, r.Entry)
-	reply.Quota = quota.Message{
-		Limits: g.limits.book.Report(time.Now(), r.Quota.WantAll),
-		Grants: g.limits.grant(time.Now(), r.Entry, g.settings.Zone, r.Quota.Demands),
-	}
+	reply.Quota = g.limits.respond(time.Now(), r.Entry, g.settings.Zone, r.Quota)
 	if r.WantLoads {
 		g.peers.storeAskerLoads(r.Entry, r.Loads)
 		reply.Loads = g.peers.loadsWithout(r.Entry)
--- a/internal/peer/quota_wire.go
+++ b/internal/peer/quota_wire.go
@@ -8,10 +8,11 @@
 )
 
 type quotaWire struct {
-	WantAll bool              `cbor:"1,keyasint,omitempty"`
-	Limits  []limitWire       `cbor:"2,keyasint,omitempty"`
-	Demands []demandWire      `cbor:"3,keyasint,omitempty"`
-	Grants  []serverGrantWire `cbor:"4,keyasint,omitempty"`
+	WantAll  bool              `cbor:"1,keyasint,omitempty"`
+	Limits   []limitWire       `cbor:"2,keyasint,omitempty"`
+	Demands  []demandWire      `cbor:"3,keyasint,omitempty"`
+	Grants   []serverGrantWire `cbor:"4,keyasint,omitempty"`
+	Backlogs []backlogWire     `cbor:"5,keyasint,omitempty"`
 }
 
 type limitWire struct {
@@ -35,9 +36,15 @@
 	ValidMS   int64  `cbor:"4,keyasint"`
 }
 
+type backlogWire struct {
+	Service string `cbor:"1,keyasint"`
+	Model   string `cbor:"2,keyasint,omitempty"`
+	WaitMS  int64  `cbor:"3,keyasint,omitempty"`
+}
+
 // quotaToWire returns nil for a message without content.
 func quotaToWire(m quota.Message) *quotaWire {
-	if !m.WantAll && len(m.Limits)+len(m.Demands)+len(m.Grants) == 0 {
+	if !m.WantAll && len(m.Limits)+len(m.Demands)+len(m.Grants)+len(m.Backlogs) == 0 {
 		return nil
 	}
 	w := &quotaWire{WantAll: m.WantAll}
@@ -54,6 +61,9 @@
 			Server: g.Server.ID, StartTime: g.Server.StartTime, Requests: g.Requests, ValidMS: g.ValidFor.Milliseconds(),
 		})
 	}
+	for _, b := range m.Backlogs {
+		w.Backlogs = append(w.Backlogs, backlogWire{Service: b.Service, Model: b.Model, WaitMS: b.Wait.Milliseconds()})
+	}
 	return w
 }
 
@@ -79,5 +89,10 @@
 			ValidFor: time.Duration(g.ValidMS) * time.Millisecond,
 		})
 	}
+	for _, b := range w.Backlogs {
+		m.Backlogs = append(m.Backlogs, quota.Backlog{
+			Pool: quota.Pool{Service: b.Service, Model: b.Model}, Wait: time.Duration(b.WaitMS) * time.Millisecond,
+		})
+	}
 	return m
 }
--- a/internal/site/callers_test.go
+++ b/internal/site/callers_test.go
@@ -53,6 +53,8 @@
 	complete     bool
 	err          error
 	cancelled    bool
+	// took is the time from sending the request to the end of the response.
+	took time.Duration
 }
 
 func (c *callers) run(zone string) {
@@ -201,6 +203,7 @@
 func (c *callers) addResult(r result) result {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	r.took = time.Since(r.at)
 	c.results = append(c.results, r)
 	return r
 }
--- a/internal/site/invariants_test.go
+++ b/internal/site/invariants_test.go
@@ -102,6 +102,34 @@
 	})
 }
 
+// Pattern: many entries that start again at the same moment while servers are cold, amid
+// requests. Each of them must not take a small site's share of the cold rate before it
+// knows how many entries share it.
+func TestManyEntriesThatStartAtOnceKeepToTheColdRate(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := newSiteOf(t, *seed, 3*relayedEntriesPerZone)
+		defer s.stop()
+		s.run()
+		s.callers.setLoad(20)
+		time.Sleep(3 * time.Second)
+		s.killEntries(false)
+		time.Sleep(500 * time.Millisecond)
+		s.mu.Lock()
+		for id, h := range s.hosts.ByID {
+			if h.Service == recordService {
+				s.servers[id].coldUntil = time.Now().Add(6 * time.Second)
+			}
+		}
+		s.mu.Unlock()
+		s.startEntries()
+		time.Sleep(8 * time.Second)
+		s.stop()
+		require.Empty(t, s.checker.finish())
+		require.NotEmpty(t, s.checker.coldArrivals)
+	})
+}
+
 func TestInvariantsHoldUnderEachFault(t *testing.T) {
 	for _, fc := range plannedCases() {
 		t.Run(subtestName(fc), func(t *testing.T) { runFaultCases(t, entriesPerZone, *seed, true, fc) })
--- a/internal/site/limit_test.go
+++ b/internal/site/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -320,3 +321,60 @@
 		}
 	}
 }
+
+// Pattern: overload at servers that all name low limits. A request that can't be served
+// in its time must be refused at once, not after it has waited in vain, and the limits
+// must be used all the same.
+func TestRequestsBeyondAllLimitsAreRefusedAtOnce(t *testing.T) {
+	t.Parallel()
+	const (
+		atOnce      = 200 * time.Millisecond
+		minAtOnce   = 0.75
+		refusedFrom = 4 * time.Second
+	)
+	for name, entries := range map[string]int{"small zones": entriesPerZone, "zones with relays": relayedEntriesPerZone} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				s := newSiteOf(t, *seed, entries)
+				defer s.stop()
+				s.run()
+				s.callers.setLoad(4)
+				time.Sleep(3 * time.Second)
+				var limited []string
+				for _, zone := range zones {
+					leaders, _ := s.leaders(zone)
+					limited = append(limited, leaders...)
+				}
+				s.setLimits(limited, 1)
+				time.Sleep(refusedFrom)
+				from := time.Now()
+				time.Sleep(10 * time.Second)
+				use := s.checker.limitUse(from, time.Now(), limited)
+				share := s.callers.refusedWithin(from, time.Now(), atOnce)
+				s.stop()
+				require.Empty(t, s.violations())
+				require.GreaterOrEqual(t, use, minLimitUse)
+				require.GreaterOrEqual(t, share, minAtOnce)
+			})
+		})
+	}
+}
+
+// refusedWithin returns the share of the refused streams sent in [from, to) whose
+// refusal came within d.
+func (c *callers) refusedWithin(from, to time.Time, d time.Duration) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	refused, soon := 0.0, 0.0
+	for _, r := range c.results {
+		if r.at.Before(from) || !r.at.Before(to) || r.status != http.StatusServiceUnavailable || serviceOf(r.path) != streamService {
+			continue
+		}
+		refused++
+		if r.took <= d {
+			soon++
+		}
+	}
+	return soon / refused
+}
