--- a/internal/site/limit_test.go
+++ b/internal/site/limit_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"flag"
-	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,81 +11,6 @@
 	"github.com/hibiscuspulley/hibiscuspulley/internal/standin"
 )
 
-const (
-	// limitSettles is how long after a server named its limit it may still get any
-	// number of requests. In each limitWindow after that it may get limitOvershoot
-	// times what the limit allows and limitSlack requests more.
-	limitSettles   = 3 * time.Second
-	limitWindow    = 4 * time.Second
-	limitOvershoot = 1.5
-	limitSlack     = 5
-	// minLimitUse is the share of its limit that a server must get while more
-	// requests wait than all servers together take.
-	minLimitUse = 0.8
-)
-
-// limitedServer holds the requests to a server that names a request limit.
-type limitedServer struct {
-	limit float64
-	// namedAt is when the server named a limit after it had none, or a lower one.
-	namedAt  time.Time
-	arrivals []time.Time
-}
-
-// limitNamed records that a server begins to name a limit, or another one, or none.
-// Each lower limit has its own settling time.
-func (c *checker) limitNamed(host *standin.Host, limit float64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	l := c.limited[host.ID]
-	if l == nil {
-		l = &limitedServer{}
-		c.limited[host.ID] = l
-	}
-	if limit > 0 && (l.limit == 0 || limit < l.limit) {
-		l.namedAt = time.Now()
-	}
-	l.limit = limit
-}
-
-// limitArrival checks a request that reaches a server against its limit, whichever
-// entry it comes from. The caller holds c.mu.
-func (c *checker) limitArrival(id string, now time.Time) {
-	l := c.limited[id]
-	if l == nil || l.limit == 0 {
-		return
-	}
-	l.arrivals = append(l.arrivals, now)
-	from := l.namedAt.Add(limitSettles)
-	n := 0
-	for _, at := range l.arrivals {
-		if at.After(from) && now.Sub(at) < limitWindow {
-			n++
-		}
-	}
-	if allowed := limitOvershoot*l.limit*limitWindow.Seconds() + limitSlack; float64(n) > allowed {
-		c.addViolation("LIMIT: %d requests in %s at server %s, which named %.1f a second; allowed %.0f", n, limitWindow, id, l.limit, allowed)
-	}
-}
-
-// limitUse returns the requests that the servers got in [from, to), as a share of
-// what their present limits allow.
-func (c *checker) limitUse(from, to time.Time, ids []string) float64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	got, allowed := 0.0, 0.0
-	for _, id := range ids {
-		l := c.limited[id]
-		allowed += l.limit * to.Sub(from).Seconds()
-		for _, at := range l.arrivals {
-			if !at.Before(from) && at.Before(to) {
-				got++
-			}
-		}
-	}
-	return got / allowed
-}
-
 // leaders returns the servers that lead an open group, and those of the plain
 // service.
 func (s *site) leaders(zone string) (leaders, plain []string) {
@@ -112,28 +36,66 @@
 	}
 }
 
+// siteSizes are the numbers of entries in a zone that limits are played with.
+var siteSizes = map[string]int{"small zones": entriesPerZone, "zones with relays": relayedEntriesPerZone}
+
+// playLimits runs a site with a number of requests every callEvery in each zone, plays
+// once they are served, and requires that no invariant is violated.
+func playLimits(t *testing.T, entries, load int, play func(s *site)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := newSiteOf(t, *seed, entries)
+		defer s.stop()
+		s.run()
+		s.callers.setLoad(load)
+		time.Sleep(3 * time.Second)
+		play(s)
+		s.stop()
+		require.Empty(t, s.violations())
+	})
+}
+
+// allLeaders returns the servers of all zones that lead an open group.
+func (s *site) allLeaders() []string {
+	var all []string
+	for _, zone := range zones {
+		leaders, _ := s.leaders(zone)
+		all = append(all, leaders...)
+	}
+	return all
+}
+
+// requireUse waits for d and requires that the servers get what they name meanwhile.
+func (s *site) requireUse(d time.Duration, limited []string) {
+	from := time.Now()
+	time.Sleep(d)
+	require.GreaterOrEqual(s.t, s.checker.limitUse(from, time.Now(), limited), minLimitUse)
+}
+
+// requireServed waits for six seconds and requires that the requests of the first four
+// are served.
+func (s *site) requireServed() {
+	from := time.Now()
+	time.Sleep(6 * time.Second)
+	share, failures := s.callers.servedShare(from, from.Add(4*time.Second), func(result) bool { return true })
+	require.GreaterOrEqual(s.t, share, minServedShare, failures)
+}
+
 // Guards against servers that get far more requests than the limit they name,
 // because entries don't read it, or keep within it one by one and pass it together.
 func TestServersGetNoMoreThanTheLimitTheyName(t *testing.T) {
 	t.Parallel()
-	for name, entries := range map[string]int{"small zones": entriesPerZone, "zones with relays": relayedEntriesPerZone} {
+	for name, entries := range siteSizes {
 		for _, limit := range []float64{1, 3.5} {
 			t.Run(name, func(t *testing.T) {
 				t.Parallel()
-				synctest.Test(t, func(t *testing.T) {
-					s := newSiteOf(t, *seed, entries)
-					defer s.stop()
-					s.run()
-					s.callers.setLoad(5)
-					time.Sleep(3 * time.Second)
+				playLimits(t, entries, 5, func(s *site) {
 					leaders, plain := s.leaders("a")
 					others, _ := s.leaders("b")
 					s.setLimits(leaders, limit)
 					s.setLimits(others[:1], limit)
 					s.setLimits(plain, limit)
 					time.Sleep(14 * time.Second)
-					s.stop()
-					require.Empty(t, s.violations())
 				})
 			})
 		}
@@ -144,34 +106,17 @@
 // others wait, and against a limit that outlives its last response.
 func TestTheLimitsThatServersNameAreUsed(t *testing.T) {
 	t.Parallel()
-	for name, entries := range map[string]int{"small zones": entriesPerZone, "zones with relays": relayedEntriesPerZone} {
+	for name, entries := range siteSizes {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				s := newSiteOf(t, *seed, entries)
-				defer s.stop()
-				s.run()
-				s.callers.setLoad(4)
-				time.Sleep(3 * time.Second)
-				var limited []string
-				for _, zone := range zones {
-					leaders, _ := s.leaders(zone)
-					limited = append(limited, leaders...)
-				}
+			playLimits(t, entries, 4, func(s *site) {
+				limited := s.allLeaders()
 				s.setLimits(limited, 1.5)
 				time.Sleep(limitSettles)
-				from := time.Now()
-				time.Sleep(10 * time.Second)
-				use := s.checker.limitUse(from, time.Now(), limited)
+				s.requireUse(10*time.Second, limited)
 				s.setLimits(limited, 0)
 				time.Sleep(2 * time.Second)
-				lifted := time.Now()
-				time.Sleep(6 * time.Second)
-				share, failures := s.callers.servedShare(lifted, lifted.Add(4*time.Second), func(result) bool { return true })
-				s.stop()
-				require.Empty(t, s.violations())
-				require.GreaterOrEqual(t, use, minLimitUse)
-				require.GreaterOrEqual(t, share, minServedShare, failures)
+				s.requireServed()
 			})
 		})
 	}
@@ -182,12 +127,7 @@
 // while grants for it expire at entries without requests.
 func TestLimitsAreUsedByEntriesThatRarelySend(t *testing.T) {
 	t.Parallel()
-	synctest.Test(t, func(t *testing.T) {
-		s := newSiteOf(t, *seed, 3*relayedEntriesPerZone)
-		defer s.stop()
-		s.run()
-		s.callers.setLoad(2)
-		time.Sleep(3 * time.Second)
+	playLimits(t, 3*relayedEntriesPerZone, 2, func(s *site) {
 		leaders, _ := s.leaders("a")
 		byModel := map[string][]string{}
 		s.mu.Lock()
@@ -198,17 +138,12 @@
 		s.mu.Unlock()
 		var limited []string
 		for _, ids := range byModel {
-			require.Greater(t, len(ids), 1)
+			require.Greater(s.t, len(ids), 1)
 			limited = append(limited, ids[0])
 		}
 		s.setLimits(limited, 1)
 		time.Sleep(limitSettles)
-		from := time.Now()
-		time.Sleep(20 * time.Second)
-		use := s.checker.limitUse(from, time.Now(), limited)
-		s.stop()
-		require.Empty(t, s.violations())
-		require.GreaterOrEqual(t, use, minLimitUse)
+		s.requireUse(20*time.Second, limited)
 	})
 }
 
@@ -287,19 +222,14 @@
 // servers get few requests more than they name, and others are served.
 func TestLimitsAreKeptBesideOtherFaults(t *testing.T) {
 	t.Parallel()
-	for name, entries := range map[string]int{"small zones": entriesPerZone, "zones with relays": relayedEntriesPerZone} {
+	for name, entries := range siteSizes {
 		for i, fc := range limitDisturbances() {
 			if !*limitsEverywhere && (i < entryDisturbances) != (entries == relayedEntriesPerZone) {
 				continue
 			}
 			t.Run(name+" "+fc.name, func(t *testing.T) {
 				t.Parallel()
-				synctest.Test(t, func(t *testing.T) {
-					s := newSiteOf(t, *seed, entries)
-					defer s.stop()
-					s.run()
-					s.callers.setLoad(3)
-					time.Sleep(3 * time.Second)
+				playLimits(t, entries, 3, func(s *site) {
 					leaders, plain := s.leaders("a")
 					s.setLimits(append(leaders, plain...), 3)
 					time.Sleep(5 * time.Second)
@@ -310,12 +240,7 @@
 					leaders, plain = s.leaders("a")
 					s.setLimits(append(leaders, plain...), 0)
 					time.Sleep(3 * time.Second)
-					lifted := time.Now()
-					time.Sleep(6 * time.Second)
-					share, failures := s.callers.servedShare(lifted, lifted.Add(4*time.Second), func(result) bool { return true })
-					s.stop()
-					require.Empty(t, s.violations())
-					require.GreaterOrEqual(t, share, minServedShare, failures)
+					s.requireServed()
 				})
 			})
 		}
@@ -328,53 +253,20 @@
 func TestRequestsBeyondAllLimitsAreRefusedAtOnce(t *testing.T) {
 	t.Parallel()
 	const (
-		atOnce      = 200 * time.Millisecond
-		minAtOnce   = 0.75
-		refusedFrom = 4 * time.Second
+		atOnce    = 200 * time.Millisecond
+		minAtOnce = 0.75
 	)
-	for name, entries := range map[string]int{"small zones": entriesPerZone, "zones with relays": relayedEntriesPerZone} {
+	for name, entries := range siteSizes {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				s := newSiteOf(t, *seed, entries)
-				defer s.stop()
-				s.run()
-				s.callers.setLoad(4)
-				time.Sleep(3 * time.Second)
-				var limited []string
-				for _, zone := range zones {
-					leaders, _ := s.leaders(zone)
-					limited = append(limited, leaders...)
-				}
+			playLimits(t, entries, 4, func(s *site) {
+				limited := s.allLeaders()
 				s.setLimits(limited, 1)
-				time.Sleep(refusedFrom)
+				time.Sleep(limitSettles + time.Second)
 				from := time.Now()
-				time.Sleep(10 * time.Second)
-				use := s.checker.limitUse(from, time.Now(), limited)
-				share := s.callers.refusedWithin(from, time.Now(), atOnce)
-				s.stop()
-				require.Empty(t, s.violations())
-				require.GreaterOrEqual(t, use, minLimitUse)
-				require.GreaterOrEqual(t, share, minAtOnce)
+				s.requireUse(10*time.Second, limited)
+				require.GreaterOrEqual(s.t, s.callers.refusedWithin(from, time.Now(), atOnce), minAtOnce)
 			})
 		})
 	}
 }
-
-// refusedWithin returns the share of the refused streams sent in [from, to) whose
-// refusal came within d.
-func (c *callers) refusedWithin(from, to time.Time, d time.Duration) float64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	refused, soon := 0.0, 0.0
-	for _, r := range c.results {
-		if r.at.Before(from) || !r.at.Before(to) || r.status != http.StatusServiceUnavailable || serviceOf(r.path) != streamService {
-			continue
-		}
-		refused++
-		if r.took <= d {
-			soon++
-		}
-	}
-	return soon / refused
-}
