Don't count goroutines that start after a shutdown has begun to wait

Callers saw nothing; a shutdown could return before such a goroutine, or crash the process on its way out.

The shutdown says under a lock that it begins to wait, and goroutines that start later are not counted.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,7 +119,11 @@
 	callerListener net.Listener
 	callerConns    connStates
 	cancel         context.CancelFunc
-	wg             sync.WaitGroup
+	// spawnMu keeps spawn from adding to wg once Shutdown waits for it, which ended
+	// tells.
+	spawnMu sync.Mutex
+	ended   bool
+	wg      sync.WaitGroup
 
 	mu      sync.Mutex
 	budgets map[string]*retry.SlidingWindow
@@ -194,8 +198,15 @@
 // counts of its sliding windows, and in-flight requests are counted late.
 const retryFactor = 0.85
 
-// spawn runs f in a goroutine. Shutdown waits for it.
+// spawn runs f in a goroutine. Shutdown waits for it, unless Shutdown has already begun
+// to wait: requests that it cut off may still be ending.
 func (g *Gateway) spawn(f func()) {
+	g.spawnMu.Lock()
+	defer g.spawnMu.Unlock()
+	if g.ended {
+		go f()
+		return
+	}
 	g.wg.Add(1)
 	go func() {
 		defer g.wg.Done()
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -38,6 +38,9 @@
 	for _, s := range g.servers {
 		_ = s.Close()
 	}
+	g.spawnMu.Lock()
+	g.ended = true
+	g.spawnMu.Unlock()
 	g.wg.Wait()
 	event.Stopped.Log(g.logger, logrus.Fields{})
 }
