--- a/internal/command/gateway/gateway_test.go
+++ b/internal/command/gateway/gateway_test.go
@@ -89,7 +89,12 @@
 		status, _ := get(caller, "/x")
 		return status == http.StatusServiceUnavailable
 	})
-	status, _ := get(readiness, "/ready")
+	// The readiness listener opens after the one for callers.
+	status := 0
+	waitFor(t, "a response on the readiness address", func() bool {
+		status, _ = get(readiness, "/ready")
+		return status != 0
+	})
 	require.Equal(t, http.StatusServiceUnavailable, status)
 	_, body := get(metrics, "/metrics")
 	require.Contains(t, body, `"served-ms"`)
