Bound the group records that one decision changes

Cause: the controller's decision held every new group record and every deletion, 106 rows with the lease. The entry logged "platform unreachable" although the store answered. The stand-in store of the tests had no such limit.

Change: a decision changes at most MaxRecordChanges records, deletions first, and the next step plans the rest. A rejected call is told apart from an unreachable store (event 211), and after rejected records the next write renews the lease alone. The stand-in store has the platform's limit.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -49,6 +49,7 @@
 	ServerRecordStale        = Event{208, logrus.WarnLevel, "server record ignored: a newer one is known"}
 	ControllerLeaseAcquired  = Event{209, logrus.InfoLevel, "controller lease of the zone acquired"}
 	ControllerLeaseLost      = Event{210, logrus.WarnLevel, "controller lease of the zone lost"}
+	CallRejected             = Event{211, logrus.ErrorLevel, "platform's store rejected a call"}
 	OrderSent                = Event{411, logrus.InfoLevel, "order sent to a backend server"}
 	GroupPhaseChanged        = Event{412, logrus.InfoLevel, "replica group phase changed"}
 	ServerUnresponsive       = Event{413, logrus.WarnLevel, "backend server does not respond to probes"}
@@ -76,7 +77,7 @@
 		StreamResumed, WrongEventRejected, RequestFailed, AttemptBroken, PartQuarantined, PartReleased, PartTried,
 		ConfigApplied, ConfigRejected, ConfigFromPeer, ConfigSnapshot, SnapshotFailed,
 		ProvisionalOrderAccepted, ProvisionalOrderRecorded,
-		LogLinesDropped, SettingsReloaded, SettingsRejected, ServerRecordChanged, ServerRecordStale, ControllerLeaseAcquired, ControllerLeaseLost,
+		LogLinesDropped, SettingsReloaded, SettingsRejected, ServerRecordChanged, ServerRecordStale, ControllerLeaseAcquired, ControllerLeaseLost, CallRejected,
 		OrderSent, GroupPhaseChanged, ServerUnresponsive, ServerResponsive, LimitChanged, LimitInvalid, LimitsAllocated, RequestServed, EvacuatedZonesChanged,
 	}
 }
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -149,7 +149,8 @@
 	NewGroups []*Group
 	// ObsoleteRecords lists groups whose record is to be deleted, until
 	// HandleRecordsDeleted confirms it. The deletion must be in the same store write
-	// as NewGroups, because a new group may contain members of an old one.
+	// as NewGroups, because a new group may contain members of an old one. Together
+	// they fit into one transaction; the next step continues with what is left.
 	ObsoleteRecords []registry.GroupID
 	Orders          []Order
 	// PhaseChanges lists the phase changes and their reasons, for the log.
@@ -239,18 +240,24 @@
 	for _, g := range c.Groups() {
 		c.reconcileGroup(g, now, v, e, probe, d)
 	}
+	c.dropEnded()
+	n := min(len(c.obsoleteRecords), MaxRecordChanges)
+	d.ObsoleteRecords = slices.Clone(c.obsoleteRecords[:n])
 	if !c.registering(now, v, service) {
-		c.plan(now, v, service, e, probe, d)
+		c.plan(now, v, service, e, probe, newRecordBudget(n), d)
 	}
-	for id, g := range c.groups {
+	return *d
+}
+
+// dropEnded removes the ended groups. Their records can be deleted.
+func (c *Controller) dropEnded() {
+	for _, g := range c.Groups() {
 		if g.Phase == Ended {
-			delete(c.groups, id)
-			delete(c.domains, id)
-			c.obsoleteRecords = append(c.obsoleteRecords, id)
+			delete(c.groups, g.ID)
+			delete(c.domains, g.ID)
+			c.obsoleteRecords = append(c.obsoleteRecords, g.ID)
 		}
 	}
-	d.ObsoleteRecords = c.obsoleteRecords
-	return *d
 }
 
 // restartTimers restarts the phase timers while no recent server records have been
--- a/internal/formation/placement.go
+++ b/internal/formation/placement.go
@@ -10,9 +10,9 @@
 )
 
 // formNextGroup plans a group of the model that is furthest below its target
-// and for which some domain has enough free servers. It reports whether it
-// planned one.
-func (c *Controller) formNextGroup(now time.Time, free map[string][]*registry.Server, targets, existing map[string]int, e *routes.Engine, d *Decision) bool {
+// and for which some domain has enough free servers. It returns nil if there is
+// none.
+func (c *Controller) formNextGroup(now time.Time, free map[string][]*registry.Server, targets, existing map[string]int, e *routes.Engine, d *Decision) *Group {
 	models := slices.Clone(e.Models)
 	slices.SortFunc(models, func(a, b routes.Model) int {
 		fillA := float64(existing[a.Name]) / float64(targets[a.Name])
@@ -38,9 +38,9 @@
 		existing[m.Name]++
 		d.NewGroups = append(d.NewGroups, g)
 		d.addPhaseChange(g, "planned in domain "+domain, now)
-		return true
+		return g
 	}
-	return false
+	return nil
 }
 
 // chooseMembers returns the domain and servers that can form a group of the
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -14,8 +14,10 @@
 // and staged for repairs. A warm join takes a tenth of the time of a load.
 const spareFraction = 0.2
 
-// plan forms groups of free servers and stages weights on the remaining ones.
-func (c *Controller) plan(now time.Time, v *registry.View, service string, e *routes.Engine, probe func(string) ProbeResult, d *Decision) {
+// plan forms groups of free servers and stages weights on the remaining ones. Groups
+// that exceed the budget are left to the next step, and nothing is staged before all
+// groups are planned.
+func (c *Controller) plan(now time.Time, v *registry.View, service string, e *routes.Engine, probe func(string) ProbeResult, budget recordBudget, d *Decision) {
 	free, alive := c.freeServers(v, service, probe)
 	targets := c.targetGroups(e, alive)
 	existing := make(map[string]int)
@@ -24,8 +26,15 @@
 			existing[g.Model]++
 		}
 	}
-	for c.formNextGroup(now, free, targets, existing, e, d) {
-		continue
+	for {
+		if budget.spent() {
+			return
+		}
+		g := c.formNextGroup(now, free, targets, existing, e, d)
+		if g == nil {
+			break
+		}
+		budget.take(g)
 	}
 	c.stageWeights(now, v, free, c.survivors(v, probe), missingGroups(targets, existing), e, d)
 }
@@ -78,9 +87,6 @@
 	alive := 0
 	assigned := make(map[registry.Incarnation]bool)
 	for _, g := range c.groups {
-		if g.Phase == Ended {
-			continue
-		}
 		for _, m := range g.Members {
 			assigned[m] = true
 		}
--- a/internal/formation/simulation_test.go
+++ b/internal/formation/simulation_test.go
@@ -201,7 +201,10 @@
 // step runs one step of the controller and applies its decision. delay returns
 // for each order how much later it is carried out; the outcome of a delayed
 // order is lost.
-func (w *simulation) step(delay func() time.Duration) {
+func (w *simulation) step(delay func() time.Duration) { w.stepDecision(delay) }
+
+// stepDecision is step, and returns the decision.
+func (w *simulation) stepDecision(delay func() time.Duration) formation.Decision {
 	d := w.controller.Step(w.now, w.reg.View(), service, w.engine, w.probe)
 	for _, c := range d.PhaseChanges {
 		w.tracef("group %s %s: %s", c.Group.Name, c.Phase, c.Reason)
@@ -234,6 +237,7 @@
 		}
 		w.controller.HandleRecordsDeleted(d.ObsoleteRecords)
 	}
+	return d
 }
 
 // crash ends a server's incarnation. restart begins the next one under the same
--- a/internal/gateway/control_loop.go
+++ b/internal/gateway/control_loop.go
@@ -31,7 +31,6 @@
 	orderMargin = orderTimeout + 100*time.Millisecond
 	// deleteBatch is the number of obsolete group records from which the lease
 	// is renewed early in order to delete them. Fewer wait for the next renewal.
-	// A transaction holds at most 100 rows.
 	deleteBatch = 40
 	// writeRetryDelay is the minimum time from the step of a failed write to
 	// the next write of group records. Three attempts fit into the remaining
@@ -79,6 +78,9 @@
 	renewedAt   time.Time
 	// retryAt is the earliest time of the next write after a failed one.
 	retryAt time.Time
+	// recordsRejected is set if the store rejected the last write, which had group
+	// records.
+	recordsRejected bool
 }
 
 // orderOutcome is the outcome of an order that a controller issued.
--- a/internal/gateway/lease.go
+++ b/internal/gateway/lease.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/hibiscuspulley/hibiscuspulley/internal/event"
@@ -120,14 +121,19 @@
 // renewIfDue renews the lease when the renewal is due, or at once if there are
 // groups to record or at least deleteBatch records to delete. After a failed
 // write it writes nothing until cl.retryAt. The controller drops the groups that
-// were not recorded. renewIfDue returns false if the lease is lost; otherwise
-// the caller must still check that the lease is valid before it sends orders.
+// were not recorded. If the store rejects the records, the next write renews the
+// lease alone. renewIfDue returns false if the lease is lost; otherwise the caller
+// must still check that the lease is valid before it sends orders.
 func (cl *controlLoop) renewIfDue(ctx context.Context, now time.Time, updates []*formation.Group, deletions []registry.GroupID) bool {
 	if now.Before(cl.retryAt) {
 		cl.markUnrecorded(updates)
 		return true
 	}
-	if len(updates) == 0 && len(deletions) < deleteBatch && now.Sub(cl.renewedAt) < leaseTiming().RenewInterval {
+	if cl.recordsRejected {
+		cl.markUnrecorded(updates)
+		updates, deletions = nil, nil
+	}
+	if len(updates) == 0 && len(deletions) < deleteBatch && !cl.recordsRejected && now.Sub(cl.renewedAt) < leaseTiming().RenewInterval {
 		return true
 	}
 	next, version, open := cl.holder.Renewal(newAttemptID())
@@ -139,6 +145,7 @@
 	sentAt := cl.gateway.bootClock()
 	written, err := cl.commit(ctx, next, version, updates, deletions)
 	cl.health.record(err)
+	cl.recordsRejected = errors.Is(err, store.ErrRejected) && len(updates)+len(deletions) > 0
 	if err == nil {
 		cl.holder.Confirm(next, written, sentAt)
 		for _, g := range updates {
--- a/internal/gateway/lease_test.go
+++ b/internal/gateway/lease_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -184,3 +185,84 @@
 		})
 	}
 }
+
+// putStaged writes the records of free servers that have the model's weights.
+// Nobody listens at their addresses.
+func (s *site) putStaged(count int) {
+	for i := range count {
+		id := fmt.Sprintf("s%03d", i)
+		record, err := json.Marshal(registry.Server{
+			ID: id, StartTime: 2, Service: "notes", Address: fmt.Sprintf("10.2.%d.%d:80", i/100, i%100), Zone: "a",
+			Domain: fmt.Sprintf("d%d", i/10), Staged: []string{"large"},
+		})
+		require.NoError(s.t, err)
+		s.store.Put("servers", id, record)
+	}
+}
+
+// putEndedGroups records groups of earlier incarnations of the servers.
+func (s *site) putEndedGroups(count int) {
+	for i := range count {
+		id := registry.GroupID{Name: fmt.Sprintf("g%d", i), Epoch: 1}
+		members := []registry.Incarnation{{ID: fmt.Sprintf("s%03d", 2*i), StartTime: 1}, {ID: fmt.Sprintf("s%03d", 2*i+1), StartTime: 1}}
+		_, err := s.store.Client("other").Commit(s.t.Context(), store.Transaction{Puts: []store.Put{{
+			RowKey: store.RowKey{Table: "stewards", Partition: "a", Key: "group/" + id.Name},
+			Value:  formation.EncodeGroup(formation.RestoreGroup(id, "large", members, time.Now())),
+		}}})
+		require.NoError(s.t, err)
+	}
+}
+
+// recordedGroups returns the names of the recorded groups.
+func (s *site) recordedGroups() []string {
+	page, err := s.store.Client("other").ReadAll(s.t.Context(), "stewards", "a")
+	require.NoError(s.t, err)
+	var names []string
+	for _, row := range page.Rows {
+		if name, found := strings.CutPrefix(row.Key, "group/"); found {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// Guards against a zone of many servers that never serves again after a power loss:
+// the old records and the new ones don't fit into one transaction of the store, and
+// the lease is renewed in the same transaction.
+func TestManyGroupsAreRecordedInParts(t *testing.T) {
+	for name, ended := range map[string]int{"first formation": 0, "after a power loss": 120} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(s *site) {
+				s.putEndedGroups(ended)
+				s.putStaged(300)
+			}, func(s *site) {
+				time.Sleep(3 * time.Second)
+				require.Zero(t, s.store.Rejected())
+				groups := s.recordedGroups()
+				require.Len(t, groups, 120)
+				for _, g := range groups {
+					require.True(t, strings.HasPrefix(g, "a-"), "%s ended with the power", g)
+				}
+				require.EqualValues(t, 1, s.lease().Epoch)
+			})
+		})
+	}
+}
+
+// Guards against the loss of the lease while the store rejects group records: the
+// lease is renewed alone.
+func TestLeaseOutlivesRejectedRecords(t *testing.T) {
+	run(t, func(s *site) {
+		s.putStaged(10)
+		s.store.SetFaults(standin.StoreFaults{RejectKeyPrefix: "group/"})
+	}, func(s *site) {
+		time.Sleep(10 * time.Second)
+		require.Positive(t, s.store.Rejected())
+		require.EqualValues(t, 1, s.lease().Epoch)
+		require.Greater(t, s.lease().Counter, uint64(5), "the lease was renewed all the while")
+		require.True(t, strings.Contains(s.logs.String(), `"event":211`))
+		s.store.SetFaults(standin.StoreFaults{})
+		time.Sleep(2 * time.Second)
+		require.Len(t, s.recordedGroups(), 4)
+	})
+}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -31,9 +31,8 @@
 	// secondReadAfter is the time from the first read of the rows to the second one.
 	// By then, entries that start together have written their rows.
 	secondReadAfter = 700 * time.Millisecond
-	// maxRenewals is the number of rows that one transaction renews. A transaction
-	// holds at most 100 rows.
-	maxRenewals = 90
+	// maxRenewals is the number of rows that one transaction renews.
+	maxRenewals = store.MaxTransactionRows
 )
 
 // entryTiming renews less often than the controller lease: these rows only show
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -26,6 +26,7 @@
 	version          int64
 	faults           StoreFaults
 	calls            int
+	rejected         int
 }
 
 // StoreFaults are the faults that a Store injects.
@@ -42,6 +43,9 @@
 	// they are committed that much later, if their conditions still hold.
 	LoseResponses bool
 	ApplyDelay    time.Duration
+	// RejectKeyPrefix rejects transactions that write a key with this prefix, if it
+	// is not empty.
+	RejectKeyPrefix string
 }
 
 // NewStore returns an empty Store.
@@ -94,6 +98,13 @@
 	return s.calls
 }
 
+// Rejected returns how many transactions were rejected.
+func (s *Store) Rejected() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rejected
+}
+
 // Put writes a row without a condition, regardless of faults.
 func (s *Store) Put(table, key string, value []byte) {
 	s.mu.Lock()
@@ -216,9 +227,28 @@
 	return s.apply(t)
 }
 
+// check returns an error if the store does not take the transaction. The caller
+// holds s.mu.
+func (s *Store) check(t store.Transaction) error {
+	if n := t.Rows(); n > store.MaxTransactionRows {
+		return errors.Wrapf(store.ErrRejected, "%d rows in one transaction", n)
+	}
+	prefix := s.faults.RejectKeyPrefix
+	for _, p := range t.Puts {
+		if prefix != "" && strings.HasPrefix(p.Key, prefix) {
+			return errors.Wrapf(store.ErrRejected, "key %s", p.Key)
+		}
+	}
+	return nil
+}
+
 func (s *Store) apply(t store.Transaction) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err := s.check(t); err != nil {
+		s.rejected++
+		return 0, err
+	}
 	for _, c := range t.Conditions {
 		if s.rows[c.RowKey].Version != c.Version {
 			return 0, store.ErrConflict
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -18,6 +18,17 @@
 	// a failure. After a transaction the outcome is unknown, unless the store
 	// stated that nothing was written.
 	ErrUnavailable = errors.New("the store is unavailable")
+	// ErrRejected means that the store refused a call as invalid. Nothing was
+	// written, and the same call will be refused again.
+	ErrRejected = errors.New("the store rejected the call")
+)
+
+// Limits of one transaction.
+const (
+	// MaxTransactionRows is the largest number of conditions, puts and deletes.
+	MaxTransactionRows = 100
+	// MaxTransactionBytes is the largest size of an encoded transaction.
+	MaxTransactionBytes = 1_000_000
 )
 
 // RowKey identifies a row.
@@ -69,6 +80,9 @@
 	Deletes    []RowKey
 }
 
+// Rows returns the number of rows that count towards MaxTransactionRows.
+func (t Transaction) Rows() int { return len(t.Conditions) + len(t.Puts) + len(t.Deletes) }
+
 // Client accesses the store. Its functions are safe for concurrent use.
 type Client struct {
 	// Read returns the rows of a partition whose keys are at least from, in
@@ -79,7 +93,8 @@
 	// returns ErrHistoryCompacted if the store no longer keeps those changes.
 	Feed func(ctx context.Context, table string, after int64, wait time.Duration) (Page, error)
 	// Commit applies a transaction and returns its version. It returns
-	// ErrConflict if a condition is not met.
+	// ErrConflict if a condition is not met, and ErrRejected if the transaction
+	// exceeds a limit.
 	Commit func(ctx context.Context, t Transaction) (int64, error)
 }
 
