Ask for keys also when the last organisation was taken away

Cause: an absent list of tenants, which by the platform's page means that no key is needed, and an empty list were decoded to the same value.

Its zero value asks for keys.

--- a/internal/gateway/config_cache.go
+++ b/internal/gateway/config_cache.go
@@ -89,6 +89,7 @@
 	cc.onTable(t)
 	event.ConfigApplied.Log(cc.logger, logrus.Fields{
 		"version": c.Version, "row-version": row.Version, "routes": len(c.Routes), "organisations": len(c.Organisations),
+		"keyless": c.Keyless,
 	})
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -498,6 +498,36 @@
 	})
 }
 
+// Guards against open routes after the last organisation was taken away: its key, and
+// no key at all, must be rejected, also by an entry that starts with such a
+// configuration.
+func TestWithoutOrganisationsNoKeyIsAccepted(t *testing.T) {
+	requireClosed := func(s *site) {
+		for _, key := range []string{key, "", "other"} {
+			got := s.call(s.t.Context(), http.MethodPost, "/dock/1", "1", map[string]string{"Key": key})
+			require.Equal(t, http.StatusUnauthorized, got.status, key)
+		}
+		require.Equal(t, http.StatusOK, s.call(s.t.Context(), http.MethodPost, "/bays/1", "2", nil).status)
+	}
+	add := func(s *site) { s.add("d1", "docking", "", ok) }
+	t.Run("taken away", func(t *testing.T) {
+		run(t, add, func(s *site) {
+			require.Equal(t, http.StatusOK, s.call(s.t.Context(), http.MethodPost, "/dock/1", "0", nil).status)
+			s.config.Version, s.config.Organisations = 5, nil
+			s.putConfig()
+			time.Sleep(time.Second)
+			requireClosed(s)
+		})
+	})
+	t.Run("at the start", func(t *testing.T) {
+		run(t, func(s *site) {
+			add(s)
+			s.config.Organisations = nil
+			s.putConfig()
+		}, requireClosed)
+	})
+}
+
 func TestAConfigurationVersionNeverDecreases(t *testing.T) {
 	run(t, func(s *site) { s.add("d1", "docking", "", ok) }, func(s *site) {
 		s.config.Version = 9
--- a/internal/routes/config.go
+++ b/internal/routes/config.go
@@ -164,4 +164,7 @@
 	Services      []Service
 	Limits        Limits
 	Organisations []Organisation
+	// Keyless is set if the configuration has no list of organisations: no route
+	// needs a key. With an empty list, no key is valid.
+	Keyless bool
 }
--- a/internal/routes/table.go
+++ b/internal/routes/table.go
@@ -74,9 +74,9 @@
 }
 
 // NeedsKey reports whether requests of the route must carry a key: the route is
-// not public, and the configuration has organisations.
+// not public, and the configuration is not keyless.
 func (t *Table) NeedsKey(r *Route) bool {
-	return !r.Public && len(t.Config.Organisations) > 0
+	return !r.Public && !t.Config.Keyless
 }
 
 // Pick selects a service by the weights of the split. point is a random number
--- a/internal/routes/table_test.go
+++ b/internal/routes/table_test.go
@@ -40,6 +40,13 @@
 	require.False(t, tbl.NeedsKey(tbl.Route("yard.example", "/notes/drafts/1")))
 }
 
+// Guards against open routes when the list of organisations becomes empty.
+func TestAnEmptyListOfOrganisationsOpensNoRoute(t *testing.T) {
+	r := &routes.Route{Host: "yard.example", Prefix: "/notes/"}
+	require.True(t, routes.NewTable(routes.Config{}).NeedsKey(r))
+	require.False(t, routes.NewTable(routes.Config{Keyless: true}).NeedsKey(r))
+}
+
 func ExampleRoute_Pick() {
 	r := routes.Route{Split: []routes.TrafficShare{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
 	fmt.Println(r.Pick(0), r.Pick(0.89), r.Pick(0.91), r.Pick(0.999))
