Let a leader without a record leave its group before it joins another

Cause: the only member of a group counted as stopped after 1.5 s of silence. Its record was deleted, and a server that leads a group without a record counted as free.

Change: a server that reports to lead an open or closing group that the controller doesn't know is not free. The group is taken over and drained: close, wait for its requests, leave. A group of one is not given up while an unanswered open order may still arrive.

--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -22,8 +22,8 @@
 	// still be carried out.
 	maxOrderDelay = 12 * time.Second
 	// soleMemberTimeout is how long the only member of a group must have no record
-	// and fail its probes before it counts as gone. A server that is only cut off
-	// from the store still responds to probes.
+	// and fail its probes before the group's record is deleted. A server that is only
+	// cut off from the store still responds to probes.
 	soleMemberTimeout = 1500 * time.Millisecond
 	// reregisterGrace is how long after a store outage the servers may take to
 	// write their expired records again.
@@ -232,6 +232,7 @@
 		c.restartTimers(now)
 		return *d
 	}
+	c.adoptUnrecorded(now, v, service, d)
 	for id, g := range c.groups {
 		if leader := v.Servers[g.leader().ID]; leader != nil && c.domains[id] == "" {
 			c.domains[id] = leader.Domain
@@ -255,7 +256,9 @@
 		if g.Phase == Ended {
 			delete(c.groups, g.ID)
 			delete(c.domains, g.ID)
-			c.obsoleteRecords = append(c.obsoleteRecords, g.ID)
+			if !g.unrecorded {
+				c.obsoleteRecords = append(c.obsoleteRecords, g.ID)
+			}
 		}
 	}
 }
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -81,7 +81,8 @@
 // domain, and the number of servers in the zone that are neither leaving nor
 // failing probes. A server may be free although it reports a group that is
 // unknown here: every group is recorded before its first order, and its record is
-// deleted only once the group can never serve again.
+// deleted only once the group can never serve again, or its leader has stayed
+// unreachable (see adoptUnrecorded).
 func (c *Controller) freeServers(v *registry.View, service string, probe func(string) ProbeResult) (map[string][]*registry.Server, int) {
 	free := make(map[string][]*registry.Server)
 	alive := 0
--- a/internal/formation/property_test.go
+++ b/internal/formation/property_test.go
@@ -184,48 +184,58 @@
 // same ID, cuts from the store, delayed orders, lost store writes, and changes
 // of the controller while orders are in progress.
 func TestGroupInvariantsHoldUnderRandomFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { playRandomFaults(t, newSimulation(12)) })
+}
+
+// The same with groups of one member, whose leader no member can stop by leaving.
+func TestGroupInvariantsHoldForGroupsOfOne(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newSimulation(12)
-		delayOrders := 0
-		delay := func() time.Duration {
-			if delayOrders == 0 || !rapid.Bool().Draw(t, "late") {
-				return 0
-			}
-			return time.Duration(rapid.IntRange(500, 8000).Draw(t, "by-ms")) * time.Millisecond
+		w.engine.Models[1].GroupSize = 1
+		playRandomFaults(t, w)
+	})
+}
+
+func playRandomFaults(t *rapid.T, w *simulation) {
+	delayOrders := 0
+	delay := func() time.Duration {
+		if delayOrders == 0 || !rapid.Bool().Draw(t, "late") {
+			return 0
 		}
-		for range 60 {
-			ids := w.hostIDs()
-			id := rapid.SampledFrom(ids).Draw(t, "host")
-			h := w.hosts[id]
-			switch rapid.IntRange(0, 12).Draw(t, "event") {
-			case 0, 1:
-				w.crash(id)
-			case 2:
-				if !h.Alive {
-					w.restart(id)
-				}
-			case 3:
-				w.crash(id)
+		return time.Duration(rapid.IntRange(500, 8000).Draw(t, "by-ms")) * time.Millisecond
+	}
+	for range 60 {
+		ids := w.hostIDs()
+		id := rapid.SampledFrom(ids).Draw(t, "host")
+		h := w.hosts[id]
+		switch rapid.IntRange(0, 12).Draw(t, "event") {
+		case 0, 1:
+			w.crash(id)
+		case 2:
+			if !h.Alive {
 				w.restart(id)
-			case 4:
-				h.cutFromStore = !h.cutFromStore
-			case 5:
-				w.newController()
-			case 6:
-				delayOrders = 1 - delayOrders
-			case 7:
-				w.storeWritable = !w.storeWritable
-			case 8:
-				h.isolated = !h.isolated
-			default:
 			}
-			w.run(time.Duration(rapid.IntRange(1, 15).Draw(t, "ticks"))*tick, delay)
-			require.Empty(t, w.servers.Violations, strings.Join(w.trace, "\n"))
+		case 3:
+			w.crash(id)
+			w.restart(id)
+		case 4:
+			h.cutFromStore = !h.cutFromStore
+		case 5:
+			w.newController()
+		case 6:
+			delayOrders = 1 - delayOrders
+		case 7:
+			w.storeWritable = !w.storeWritable
+		case 8:
+			h.isolated = !h.isolated
+		default:
 		}
-		w.repairAll()
-		w.run(time.Minute, noDelay)
-		require.Empty(t, w.servers.Violations)
-		require.Positive(t, w.openGroups("large"))
-		require.Positive(t, w.openGroups("small"))
-	})
+		w.run(time.Duration(rapid.IntRange(1, 15).Draw(t, "ticks"))*tick, delay)
+		require.Empty(t, w.servers.Violations, strings.Join(w.trace, "\n"))
+	}
+	w.repairAll()
+	w.run(time.Minute, noDelay)
+	require.Empty(t, w.servers.Violations)
+	require.Positive(t, w.openGroups("large"))
+	require.Positive(t, w.openGroups("small"))
 }
--- a/internal/formation/reconcile.go
+++ b/internal/formation/reconcile.go
@@ -255,24 +255,30 @@
 	}
 }
 
-// leaderStopped reports whether a leader without a record can no longer serve.
-// The only member of a group counts as stopped once it has not answered probes
-// for soleMemberTimeout. For a leader with other members that is not enough: the
-// network between it and this process may be partitioned while it keeps serving.
-// It counts as stopped only when it must be broken because a member has left.
+// leaderStopped reports whether a leader without a record can no longer serve. A
+// leader that doesn't answer may only be partitioned from this process and keep
+// serving. It counts as stopped when it must be broken because a member has left.
+//
+// The only member of a group is never broken. Its group is given up after
+// soleMemberTimeout; if it still serves when it is back, adoptUnrecorded takes the
+// group over.
 func (c *Controller) leaderStopped(g *Group, now time.Time, probe func(string) ProbeResult) bool {
+	// A leader that was not seen open may carry out an open order up to
+	// maxOrderDelay after it was sent, and notices a missing member only then.
+	var latestOpen time.Time
+	if !g.openSeen {
+		latestOpen = g.openOrderedAt.Add(maxOrderDelay)
+	}
 	if len(g.Members) == 1 {
 		p := probe(g.leader().ID)
-		return !p.FailingSince.IsZero() && now.Sub(p.FailingSince) >= soleMemberTimeout
+		return !p.FailingSince.IsZero() && now.Sub(p.FailingSince) >= soleMemberTimeout && !now.Before(latestOpen)
 	}
 	if g.incompleteSince.IsZero() {
 		return false
 	}
-	// A leader that was not seen open may carry out an open order up to
-	// maxOrderDelay after it was sent, and notices the missing member only then.
 	stalledSince := g.incompleteSince
-	if latest := g.openOrderedAt.Add(maxOrderDelay); !g.openSeen && latest.After(stalledSince) {
-		stalledSince = latest
+	if latestOpen.After(stalledSince) {
+		stalledSince = latestOpen
 	}
 	return now.Sub(stalledSince) >= c.brokenAfter+brokenMargin
 }
--- a/internal/formation/simulation_test.go
+++ b/internal/formation/simulation_test.go
@@ -25,8 +25,10 @@
 // server.
 type simHost struct {
 	*standin.Host
-	cutFromStore      bool // from the store only; orders and probes still reach the server
-	isolated          bool // from the store and the controller; the server keeps running
+	cutFromStore bool // from the store only; orders and probes still reach the server
+	isolated     bool // from the store and the controller; the server keeps running
+	// mute servers get orders and probes, but nothing that they send arrives.
+	mute              bool
 	hasRecord         bool // has a record in the registry
 	unresponsiveSince time.Time
 	// reregisterAt is when the server writes its record again.
@@ -135,7 +137,7 @@
 		if w.now.Before(h.reregisterAt) {
 			continue
 		}
-		unresponsive := !h.Alive || h.cutFromStore || h.isolated
+		unresponsive := !h.Alive || h.cutFromStore || h.isolated || h.mute
 		if unresponsive && h.unresponsiveSince.IsZero() {
 			h.unresponsiveSince = w.now
 		}
@@ -161,7 +163,7 @@
 // probe returns the result of the controller's probes of a server.
 func (w *simulation) probe(id string) formation.ProbeResult {
 	h := w.hosts[id]
-	if h == nil || (h.Alive && !h.isolated) {
+	if h == nil || (h.Alive && !h.isolated && !h.mute) {
 		delete(w.failingSince, id)
 		return formation.ProbeResult{Answered: h != nil}
 	}
@@ -195,7 +197,11 @@
 	if h == nil || h.isolated {
 		return formation.Unknown
 	}
-	return w.servers.Apply(w.now, o)
+	outcome := w.servers.Apply(w.now, o)
+	if h.mute {
+		return formation.Unknown
+	}
+	return outcome
 }
 
 // step runs one step of the controller and applies its decision. delay returns
--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -88,6 +88,13 @@
 	return now.Before(s.ColdUntil)
 }
 
+// LeadsServingGroup reports whether the server leads a group that is open or still
+// finishes its requests.
+func (s *Server) LeadsServingGroup() bool {
+	m := s.Member
+	return m != nil && m.Rank == 0 && (m.State == Open || m.State == Closing)
+}
+
 // LeadsOpenGroup reports whether the server leads a group that is open and
 // serves the model.
 func (s *Server) LeadsOpenGroup(model string) bool {
