--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -176,10 +176,7 @@
 		list = append(list, g)
 	}
 	slices.SortFunc(list, func(a, b *Group) int {
-		if a.ID.Epoch != b.ID.Epoch {
-			return int(a.ID.Epoch - b.ID.Epoch)
-		}
-		return strings.Compare(a.ID.Name, b.ID.Name)
+		return cmp.Or(cmp.Compare(a.ID.Epoch, b.ID.Epoch), strings.Compare(a.ID.Name, b.ID.Name))
 	})
 	return list
 }
