Don't take a refusal without an ID for the answer on a reused connection

Callers: where a faulty server wrote an earlier refusal once more on a kept connection, without a request ID, callers of safe calls and streams got 503 ("not run") while the server ran the request, or it ran at two servers where its route allows one.

Cause: a refusal without an ID counted on any connection.

Change: on a reused connection it is a failure of an attempt that may have run. The connection is closed, and the server counts as one of those that the request was tried at. Requests that must run at most once have a new connection each and are unaffected.

Test failed before: TestARepeatedRefusalIsNoPromiseForTheNextRequest, 4 of 12 cases (safe calls and streams, copy without an ID, one and two servers). TestARejectionWithoutIDIsReadAtOnce passes as before.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -144,6 +144,9 @@
 	return errMismatch
 }
 
+// Reused reports whether the connection had carried another request before.
+func (x *Exchange) Reused() bool { return x.conn.exchanges > 1 }
+
 // Body returns the response's body. It ends with io.EOF only if it is complete,
 // provided that the response states its length or is chunked. A body that ends
 // with the connection also ends with io.EOF if the server closed the connection
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/hibiscuspulley/hibiscuspulley/internal/backend"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/dispatch"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/registry"
@@ -29,6 +31,10 @@
 	maxUnsentAttempts = 3
 )
 
+// errUnknownRejection is the error of an attempt that was answered by a rejection of
+// an unknown request.
+var errUnknownRejection = errors.New("the rejection may belong to an earlier request on the connection")
+
 // reserve waits for capacity at a server and reserves it. It returns nil if
 // none becomes free in time, if the queue is full or if the request is shed. It
 // returns nil at once, and sets c.retryAfter, if the expected wait is too long;
@@ -114,7 +120,8 @@
 // header of its response. If newConn is set, it opens a new connection. It skips
 // late responses to other requests: those with another request ID, and those
 // without an ID that are signed, or that arrive on a reused connection and are no
-// rejections.
+// rejections. A rejection without an ID on a reused connection may be a copy of an
+// earlier one, while the server runs this request, so it is a failure.
 func (g *Gateway) send(ctx context.Context, c *call, res *dispatch.Reservation, lastEventID string, newConn bool) (*backend.Exchange, *backend.Failure) {
 	request := c.request
 	request.Header = maps.Clone(c.request.Header)
@@ -134,11 +141,17 @@
 		c.addNote(res.Server.ID + " limit " + strconv.FormatFloat(limit, 'g', 4, 64) + "/s")
 	}
 	x, failure := g.pool.Do(ctx, g.backendServer(res.Server), &request, matches, newConn)
-	if failure == nil {
-		status := x.Response.StatusCode
-		g.limits.observe(time.Now(), res.Server, status, g.platform.Protocol.DecodeResponse(x.Response.Header, status))
+	if failure != nil {
+		return nil, failure
+	}
+	status := x.Response.StatusCode
+	info := g.platform.Protocol.DecodeResponse(x.Response.Header, status)
+	if info.NotRun && info.ID == "" && x.Reused() {
+		x.Abort()
+		return nil, &backend.Failure{Stage: backend.Sent, Err: errUnknownRejection}
 	}
-	return x, failure
+	g.limits.observe(time.Now(), res.Server, status, info)
+	return x, nil
 }
 
 // backendServer returns the server with this entry's part of the service's
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -376,6 +376,99 @@
 	})
 }
 
+// runs counts the runs of requests, by their ID.
+type runs struct {
+	mu   sync.Mutex
+	byID map[string]int
+}
+
+func (r *runs) add(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.byID[id]++
+}
+
+func (r *runs) of(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.byID[id]
+}
+
+// repeatsRefusal returns a handler of a faulty server. It refuses the first request of
+// each connection. Before it runs a later one, it writes that refusal once more: with
+// the ID of the refused request, or without one.
+func repeatsRefusal(withID bool, ran *runs) func(http.ResponseWriter, *http.Request) {
+	return func(w http.ResponseWriter, r *http.Request) {
+		conn, buf, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		refusal := "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n"
+		_, err = fmt.Fprintf(conn, "%sId: %s\r\n\r\n", refusal, r.Header.Get("Id"))
+		if withID {
+			refusal += "Id: " + r.Header.Get("Id") + "\r\n"
+		}
+		for err == nil {
+			if r, err = http.ReadRequest(buf.Reader); err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			ran.add(r.Header.Get("Id"))
+			_, _ = io.WriteString(conn, refusal+"\r\n")
+			time.Sleep(50 * time.Millisecond)
+			_, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nReceipt: 1\r\nContent-Length: 21\r\n\r\nid: 1\ndata: event 1\n\n", r.Header.Get("Id"))
+		}
+	}
+}
+
+// Guards against a refusal that a faulty server writes once more on a kept
+// connection: a caller must not be told that a request has not run while the server
+// runs it, and no request may run at more servers than its route allows.
+func TestARepeatedRefusalIsNoPromiseForTheNextRequest(t *testing.T) {
+	for _, path := range []string{"/bays/1", "/notes/1", "/dock/1"} {
+		for _, withID := range []bool{true, false} {
+			for servers := 1; servers <= 2; servers++ {
+				t.Run(fmt.Sprintf("%s %v %d", path[1:5], withID, servers), func(t *testing.T) {
+					ran := &runs{byID: map[string]int{}}
+					run(t, func(s *site) {
+						for i := range s.config.Routes {
+							s.config.Routes[i].MaxAttempts = 1
+						}
+						s.putConfig()
+						service, model := "docking", ""
+						if strings.HasPrefix(path, "/notes/") {
+							service, model = "notes", "large"
+						}
+						for i := range servers {
+							s.add(fmt.Sprint("d", i), service, model, repeatsRefusal(withID, ran))
+						}
+					}, func(s *site) {
+						reached := 0
+						for n := range 8 {
+							id := fmt.Sprint(n)
+							got := s.call(s.t.Context(), http.MethodPost, path, id, nil)
+							require.LessOrEqual(s.t, ran.of(id), 1, "runs of one request")
+							if got.status == http.StatusServiceUnavailable {
+								require.Zero(s.t, ran.of(id), "a refused request has run")
+							}
+							if withID && ran.of(id) > 0 {
+								require.Equal(s.t, http.StatusOK, got.status)
+							}
+							reached += ran.of(id)
+							time.Sleep(1200 * time.Millisecond) // until servers that failed are used again
+						}
+						if path != "/dock/1" {
+							require.Positive(s.t, reached, "no kept connection was used")
+						}
+						time.Sleep(10 * time.Second) // the idle connections expire
+					})
+				})
+			}
+		}
+	}
+}
+
 // A server that rejects a call without an ID, on a connection that was used before,
 // must not hold it up: the call goes to another server at once.
 func TestARejectionWithoutIDIsReadAtOnce(t *testing.T) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -39,7 +39,7 @@
 	// run in part.
 	streamBroken
 	// streamFailed means that the server sent an error response that does not
-	// state that the request did not run.
+	// state that this request did not run.
 	streamFailed
 	// streamCallerGone means that the caller disconnected.
 	streamCallerGone
@@ -199,6 +199,9 @@
 		if !failure.Fresh {
 			g.pool.CloseIdle(res.Server.ID)
 		}
+		if errors.Is(failure, errUnknownRejection) {
+			return streamFailed, false // the server may run the request
+		}
 		return streamBroken, false
 	}
 	result, reason = s.relay(x, res, watch)
