Continue a stream with nothing but numbered events

Callers: a stream had begun and broke off, and the server that was to continue it answered with an error under status 200. Callers found the error's text in the middle of their stream, at times with its whole head, or the stream ended as if it were complete.

Cause: a response with a signature and a status below 300 was taken for a stream whatever its content type, status 204 too, and everything up to a blank line for an event.

Change: a response that continues a stream must have status 200 and the content type of event streams, or none, and each of its events must have an ID. Otherwise the attempt has failed: the stream goes on at another server, or is cut so that the caller sees it. Answers with error statuses, without a signature or with an encoding were handled before.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -235,6 +236,11 @@
 
 func (s *streamRelay) relayEvents(x *backend.Exchange, res *dispatch.Reservation, watch *watchdog) (streamResult, string) {
 	c := s.call
+	continues := s.headerSent
+	if continues && !isEventStream(x.Response) {
+		x.Abort()
+		return streamBroken, "the response that is to continue the stream is no stream of events"
+	}
 	events := sse.NewRawReader(x.Body())
 	for {
 		e, err := events.Read()
@@ -249,6 +255,12 @@
 			x.Abort()
 			return streamBroken, err.Error()
 		}
+		if continues && !e.Comment && len(e.ID) == 0 {
+			// Without an ID it has no place in the stream. It may be the text of an
+			// error.
+			x.Abort()
+			return streamBroken, "an event without an ID in the continuation of a stream"
+		}
 		now := time.Now()
 		if !e.Comment {
 			s.recordProgress(now, res, watch)
@@ -278,6 +290,17 @@
 	}
 }
 
+// isEventStream reports whether a response is a stream of events. A response without a
+// content type may be one.
+func isEventStream(r *http.Response) bool {
+	contentType := r.Header.Get("Content-Type")
+	if contentType == "" {
+		return r.StatusCode == http.StatusOK
+	}
+	mediaType, _, err := mime.ParseMediaType(contentType)
+	return err == nil && mediaType == "text/event-stream" && r.StatusCode == http.StatusOK
+}
+
 // recordProgress records the arrival of an event. Comments are none: a server whose
 // group stands still may go on sending them.
 func (s *streamRelay) recordProgress(now time.Time, res *dispatch.Reservation, watch *watchdog) {
