Follow the instance list although one of its items is odd

Entries (serve): one item of another writer in the platform's instance list (nested too deeply, a label that is a number) made the whole list unreadable. All entries stopped following it: instances that joined or left were not seen, for as long as the item was there.

Cause: the list was decoded in one piece, and an item's error was the list's.

Change: each item is decoded by itself.

--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -54,7 +54,8 @@
 	p := e.settings.Platform
 	e.platform = platform.NewClient(p.TableURL,
 		platform.WithObjects(p.ObjectsURL), platform.WithInstances(p.InstancesURL),
-		platform.WithTimeout(p.Timeout), platform.WithDial(o.dial))
+		platform.WithTimeout(p.Timeout), platform.WithDial(o.dial),
+		platform.WithOnInvalidInstance(func(err error) { event.RowInvalid.Log(e.logger, logrus.Fields{"error": err}) }))
 	e.engines = engine.NewClient(engine.WithDial(o.dial), engine.WithTLS(peerTLS()))
 	e.health = &platformHealth{logger: e.logger}
 	e.config = config.NewLog()
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -28,6 +28,9 @@
 	httpClient   *http.Client
 	transport    *http.Transport
 	instances    instanceCache
+	// onInvalidInstance is called for each item of the instance list that can't be
+	// right, whenever the list has changed.
+	onInvalidInstance func(error)
 }
 
 // Option configures a Client.
@@ -43,6 +46,13 @@
 	return func(c *Client) { c.instancesURL = url }
 }
 
+// WithOnInvalidInstance sets the function that is called for each item of the
+// instance list that can't be decoded or has no valid address, whenever the list has
+// changed.
+func WithOnInvalidInstance(f func(error)) Option {
+	return func(c *Client) { c.onInvalidInstance = f }
+}
+
 // WithTimeout limits the duration of each call.
 func WithTimeout(d time.Duration) Option {
 	return func(c *Client) { c.timeout = d }
@@ -59,7 +69,7 @@
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     30 * time.Second,
 	}
-	c := &Client{tableURL: tableURL, timeout: DefaultTimeout, transport: transport}
+	c := &Client{tableURL: tableURL, timeout: DefaultTimeout, transport: transport, onInvalidInstance: func(error) {}}
 	for _, opt := range opts {
 		opt(c)
 	}
--- a/pkg/platform/instance.go
+++ b/pkg/platform/instance.go
@@ -1,8 +1,13 @@
 package platform
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
+	"io"
+	"net"
 	"net/http"
+	"strconv"
 	"sync"
 
 	"github.com/dghubble/sling"
@@ -56,8 +61,12 @@
 	c.list, c.tag = list, tag
 }
 
+// maxInstanceListBytes limits the size of the instance list.
+const maxInstanceListBytes = 64 << 20
+
 // Instances returns the platform's list. It includes instances that are about to
-// be removed and omits those without an address. Callers must not modify the list.
+// be removed and omits those without an address, and items that can't be right,
+// which are reported as WithOnInvalidInstance says. Callers must not modify the list.
 // If the call to the platform fails, Instances returns ErrUnavailable and does not
 // fall back to the cached list.
 func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
@@ -72,30 +81,50 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "build the request")
 	}
-	var wires []instanceWire
-	response, err := sling.New().Client(c.httpClient).Do(request.WithContext(ctx), &wires, nil)
+	response, err := c.httpClient.Do(request.WithContext(ctx))
 	if err != nil {
 		c.closeIdleAfterTimeout(ctx)
 		return nil, errors.Wrap(ErrUnavailable, err.Error())
 	}
+	defer response.Body.Close()
 	switch response.StatusCode {
 	case http.StatusNotModified:
 		return cached, nil
 	case http.StatusOK:
-		list := decodeInstances(wires)
-		c.instances.store(list, response.Header.Get("ETag"))
-		return list, nil
 	default:
 		return nil, errors.Wrap(ErrUnavailable, response.Status)
 	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxInstanceListBytes))
+	if err != nil {
+		c.closeIdleAfterTimeout(ctx)
+		return nil, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	items, err := splitArray(body)
+	if err != nil {
+		return nil, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	list := c.decodeInstances(items)
+	c.instances.store(list, response.Header.Get("ETag"))
+	return list, nil
 }
 
-func decodeInstances(wires []instanceWire) []Instance {
-	instances := make([]Instance, 0, len(wires))
-	for _, w := range wires {
+// decodeInstances decodes each item by itself, so that one that another writer left
+// doesn't hide the others.
+func (c *Client) decodeInstances(items [][]byte) []Instance {
+	instances := make([]Instance, 0, len(items))
+	for _, item := range items {
+		var w instanceWire
+		if err := json.Unmarshal(item, &w); err != nil {
+			c.onInvalidInstance(errors.Errorf("item %.60q of the instance list: %.100s", item, err))
+			continue
+		}
 		if len(w.Targets) == 0 {
 			continue
 		}
+		if !validAddress(w.Targets[0]) {
+			c.onInvalidInstance(errors.Errorf("%.60q in the instance list is not a host and a port from 1 to 65535", w.Targets[0]))
+			continue
+		}
 		instances = append(instances, Instance{
 			Name:          w.Labels["instance"],
 			Address:       w.Targets[0],
@@ -108,3 +137,48 @@
 	}
 	return instances
 }
+
+func validAddress(address string) bool {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || host == "" {
+		return false
+	}
+	n, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && n > 0
+}
+
+// splitArray returns the items of a JSON array without decoding them. The decoder of
+// encoding/json would refuse the whole array for one item that is nested too deeply.
+func splitArray(text []byte) ([][]byte, error) {
+	text = bytes.TrimSpace(text)
+	if len(text) < 2 || text[0] != '[' || text[len(text)-1] != ']' {
+		return nil, errors.New("the instance list is not an array")
+	}
+	text = text[1 : len(text)-1]
+	var items [][]byte
+	depth, start := 0, 0
+	quoted, escaped := false, false
+	for i, b := range text {
+		switch {
+		case quoted:
+			quoted = b != '"' || escaped
+			escaped = b == '\\' && !escaped
+		case b == '"':
+			quoted = true
+		case b == '[' || b == '{':
+			depth++
+		case b == ']' || b == '}':
+			depth--
+		case b == ',' && depth == 0:
+			items = append(items, text[start:i])
+			start = i + 1
+		}
+	}
+	if quoted || depth != 0 {
+		return nil, errors.New("the instance list ends inside an item")
+	}
+	if last := bytes.TrimSpace(text[start:]); len(last) > 0 || len(items) > 0 {
+		items = append(items, last)
+	}
+	return items, nil
+}
