--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -235,10 +235,11 @@
 			c.domains[id] = leader.Domain
 		}
 	}
-	for _, g := range c.Groups() {
+	groups := c.Groups()
+	for _, g := range groups {
 		c.reconcileGroup(g, now, v, e, probe, d)
 	}
-	c.dropEnded()
+	c.dropEnded(groups)
 	n := min(len(c.obsoleteRecords), MaxRecordChanges)
 	d.ObsoleteRecords = slices.Clone(c.obsoleteRecords[:n])
 	if !c.registering(now, v, service) {
@@ -247,9 +248,9 @@
 	return *d
 }
 
-// dropEnded removes the ended groups. Their records can be deleted.
-func (c *Controller) dropEnded() {
-	for _, g := range c.Groups() {
+// dropEnded removes those of the groups that have ended. Their records can be deleted.
+func (c *Controller) dropEnded(groups []*Group) {
+	for _, g := range groups {
 		if g.Phase == Ended {
 			delete(c.groups, g.ID)
 			delete(c.domains, g.ID)
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/hibiscuspulley/hibiscuspulley/internal/registry"
@@ -106,7 +105,7 @@
 		free[srv.Domain] = append(free[srv.Domain], srv)
 	}
 	for _, list := range free {
-		slices.SortFunc(list, func(a, b *registry.Server) int { return strings.Compare(a.ID, b.ID) })
+		slices.SortFunc(list, compareIDs)
 	}
 	return free, alive
 }
--- a/internal/formation/record_budget_test.go
+++ b/internal/formation/record_budget_test.go
@@ -1,7 +1,9 @@
 package formation_test
 
 import (
+	"encoding/base64"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,6 +11,8 @@
 
 	"github.com/hibiscuspulley/hibiscuspulley/internal/formation"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/registry"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/routes"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/store"
 )
 
 // manyHosts is a number of hosts whose groups don't fit into one transaction.
@@ -99,3 +103,32 @@
 		require.Len(t, w.records, 120, steps)
 	}
 }
+
+// Guards against records that are few but too large for one transaction: groups of
+// many members with long IDs.
+func TestRecordsOfLargeGroupsFitIntoOneTransaction(t *testing.T) {
+	const size, groups = 100, 60
+	engine := &routes.Engine{Slots: 4, Models: []routes.Model{{Name: "huge", GroupSize: size, InitialShare: 1}}}
+	view := &registry.View{Version: 1, Servers: map[string]*registry.Server{}}
+	for i := range groups * size * 5 / 4 {
+		id := fmt.Sprintf("%s-%d", strings.Repeat("s", 180), i)
+		view.Servers[id] = &registry.Server{
+			ID: id, StartTime: 1, Service: service, Zone: zone, Domain: fmt.Sprint(i / 1000), Staged: []string{"huge"},
+		}
+	}
+	c := formation.NewController(zone, []string{zone}, 1, brokenAfter, nil)
+	planned, decisions := 0, 0
+	for now := time.Unix(1000, 0); planned < groups; now = now.Add(tick) {
+		d := c.Step(now, view, service, engine, func(string) formation.ProbeResult { return formation.ProbeResult{} })
+		require.NotEmpty(t, d.NewGroups)
+		tx := 0
+		for _, g := range d.NewGroups {
+			tx += base64.StdEncoding.EncodedLen(len(formation.EncodeGroup(g)))
+			c.HandleRecorded(g.ID, now)
+		}
+		require.Less(t, tx, store.MaxTransactionBytes*9/10, "the rest is for keys and the lease")
+		planned += len(d.NewGroups)
+		decisions++
+	}
+	require.Greater(t, decisions, 1)
+}
--- a/internal/formation/unrecorded.go
+++ b/internal/formation/unrecorded.go
@@ -1,8 +1,8 @@
 package formation
 
 import (
-	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/hibiscuspulley/hibiscuspulley/internal/registry"
@@ -13,11 +13,14 @@
 // unreachable, which doesn't prove that it has stopped. Such a group is drained like
 // any other that must end, and until then its members are not free.
 func (c *Controller) adoptUnrecorded(now time.Time, v *registry.View, service string, d *Decision) {
-	for _, id := range slices.Sorted(maps.Keys(v.Servers)) {
-		leader := v.Servers[id]
-		if leader.Zone != c.zone || leader.Service != service || !leader.LeadsServingGroup() || c.groups[leader.Member.Group] != nil {
-			continue
+	var leaders []*registry.Server
+	for _, srv := range v.Servers {
+		if srv.Zone == c.zone && srv.Service == service && srv.LeadsServingGroup() && c.groups[srv.Member.Group] == nil {
+			leaders = append(leaders, srv)
 		}
+	}
+	slices.SortFunc(leaders, compareIDs)
+	for _, leader := range leaders {
 		g := RestoreGroup(leader.Member.Group, leader.Member.Model, reportedMembers(v, leader), now)
 		g.unrecorded = true
 		c.groups[g.ID] = g
@@ -28,12 +31,18 @@
 // reportedMembers returns the servers that report the leader's group, the leader
 // first.
 func reportedMembers(v *registry.View, leader *registry.Server) []registry.Incarnation {
-	members := []registry.Incarnation{leader.Incarnation()}
-	for _, id := range slices.Sorted(maps.Keys(v.Servers)) {
-		srv := v.Servers[id]
+	var others []*registry.Server
+	for _, srv := range v.Servers {
 		if srv != leader && srv.Member != nil && srv.Member.Group == leader.Member.Group {
-			members = append(members, srv.Incarnation())
+			others = append(others, srv)
 		}
 	}
+	slices.SortFunc(others, compareIDs)
+	members := []registry.Incarnation{leader.Incarnation()}
+	for _, srv := range others {
+		members = append(members, srv.Incarnation())
+	}
 	return members
 }
+
+func compareIDs(a, b *registry.Server) int { return strings.Compare(a.ID, b.ID) }
