Keep away from servers that ask for time with 503 and Retry-After

A server that turned requests away and asked for time went on getting them; where no other server had room, callers waited up to 1.2 s before they were rejected, and came back to the same server.

Cause: Retry-After of servers was not read.

Such a server is left out until then in every choice of a server; if all servers for a request have asked for time, it is rejected at once with the time of the first. Afterwards an entry sends one request at a time until one has made progress.

TestOtherServersServeWhileOneHasAskedForTime passed before and guards the fix.

--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -212,14 +212,14 @@
 
 // hasLocalServer reports whether this entry's zone has a server for the
 // request. Servers that are full, unresponsive or already tried count too, but not
-// those whose request limit is used up.
+// those whose request limit is used up or that have asked for time.
 func (b *Balancer) hasLocalServer(now time.Time, service *routes.Service, r Requirements) bool {
 	if b.excluded[b.zone] {
 		return false
 	}
 	for _, s := range b.view.Servers {
 		if s.Zone == b.zone && s.Service == r.Service && !s.Leaving && (service.Engine == nil || s.LeadsOpenGroup(r.Model)) &&
-			b.grants.Allows(now, s.Incarnation()) {
+			!now.Before(b.grants.WaitUntil(now, s.Incarnation())) && b.grants.Allows(now, s.Incarnation()) {
 			return true
 		}
 	}
@@ -252,7 +252,7 @@
 		slots = service.Engine.Slots
 	}
 	l := b.load(s)
-	if l.unresponsive(now) || !b.coldRateAllows(now, s, l, service.ColdRate) {
+	if l.unresponsive(now) || b.waits(now, s, l) || !b.coldRateAllows(now, s, l, service.ColdRate) {
 		return 0, false
 	}
 	slots = max(slots, 1)
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -37,6 +37,8 @@
 	// lastProgress is when a stream of this entry last advanced, or when this
 	// entry sent the first request after none was in flight.
 	lastProgress time.Time
+	// provenAt is when the server last made progress on a request of this entry.
+	provenAt time.Time
 	// trips counts the circuit breaker's trips since the last progress. While
 	// it is above 0, the server gets one request at a time, after openUntil.
 	trips     int
@@ -93,7 +95,7 @@
 
 // recordProgress sets lastProgress and closes the circuit breaker.
 func (l *load) recordProgress(now time.Time) {
-	l.lastProgress, l.trips, l.openUntil = now, 0, time.Time{}
+	l.lastProgress, l.provenAt, l.trips, l.openUntil = now, now, 0, time.Time{}
 }
 
 func (l *load) totalInFlight() int { return l.inFlight + l.peerInFlight }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -55,9 +55,10 @@
 	ServerUnresponsive       = Event{413, logrus.WarnLevel, "backend server does not respond to probes"}
 	ServerResponsive         = Event{414, logrus.InfoLevel, "backend server responds to probes again"}
 	LimitChanged             = Event{415, logrus.InfoLevel, "backend server's request limit changed"}
-	LimitInvalid             = Event{416, logrus.WarnLevel, "backend server named an invalid request limit: it is ignored"}
+	LimitInvalid             = Event{416, logrus.WarnLevel, "backend server named an invalid request limit or time: it is ignored"}
 	LimitsAllocated          = Event{417, logrus.InfoLevel, "entry that allocates the request limits of the zone's servers changed"}
 	ServerLeaving            = Event{418, logrus.InfoLevel, "backend server says that it leaves: it gets no new requests"}
+	ServerWaits              = Event{419, logrus.InfoLevel, "backend server has asked for time: it gets no requests meanwhile"}
 	AttemptBroken            = Event{504, logrus.WarnLevel, "attempt of a streamed response broke off; its server was probed"}
 	PartQuarantined          = Event{505, logrus.WarnLevel, "prompt part in quarantine: requests with it are rejected"}
 	PartReleased             = Event{506, logrus.InfoLevel, "prompt part released from quarantine"}
@@ -79,6 +80,6 @@
 		ConfigApplied, ConfigRejected, ConfigFromPeer, ConfigSnapshot, SnapshotFailed,
 		ProvisionalOrderAccepted, ProvisionalOrderRecorded,
 		LogLinesDropped, SettingsReloaded, SettingsRejected, ServerRecordChanged, ServerRecordStale, ControllerLeaseAcquired, ControllerLeaseLost, CallRejected,
-		OrderSent, GroupPhaseChanged, ServerUnresponsive, ServerResponsive, LimitChanged, LimitInvalid, LimitsAllocated, ServerLeaving, RequestServed, EvacuatedZonesChanged,
+		OrderSent, GroupPhaseChanged, ServerUnresponsive, ServerResponsive, LimitChanged, LimitInvalid, LimitsAllocated, ServerLeaving, ServerWaits, RequestServed, EvacuatedZonesChanged,
 	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -38,7 +38,8 @@
 // reserve waits for capacity at a server and reserves it. It returns nil if
 // none becomes free in time, if the queue is full or if the request is shed. It
 // returns nil at once, and sets c.retryAfter, if the expected wait is too long;
-// retries skip this check. model is empty for plain requests.
+// retries skip this check. It does so too if all servers have asked for more time than
+// that. model is empty for plain requests.
 func (g *Gateway) reserve(ctx context.Context, c *call, model string, isRetry bool) *dispatch.Reservation {
 	requirements := dispatch.Requirements{Service: c.service, Model: model, Tried: c.tried}
 	wait := min(time.Duration(float64(time.Until(c.deadline))*maxQueueShare), maxQueueWait)
@@ -58,6 +59,11 @@
 		c.addNote("queue too long: expected wait " + expected.Round(time.Millisecond).String())
 		return nil
 	}
+	if closed := g.balancer.ClosedFor(time.Now(), requirements); closed > wait {
+		c.retryAfter = closed
+		c.addNote("all servers have asked for time: " + closed.Round(time.Millisecond).String())
+		return nil
+	}
 	started := time.Now()
 	g.limits.ask(ctx, requirements)
 	res := queue.Wait(ctx, queued, func(now time.Time) *dispatch.Reservation {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -69,7 +69,8 @@
 	// and invalid headers. It is logged with the request's outcome.
 	attemptNotes []string
 	// retryAfter is the estimated wait of a request that was rejected because
-	// its queue is too long, at most maxRetryAfter. Otherwise it is 0.
+	// its queue is too long, at most maxRetryAfter, or after which the first server
+	// takes requests again. Otherwise it is 0.
 	retryAfter time.Duration
 	// lastResume is the value of sent when a resume was last logged. It limits
 	// the log to one resume per attempt.
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -16,7 +16,7 @@
 
 const (
 	// invalidLimitInterval is the minimum time between two log lines about invalid
-	// limits of the same server.
+	// limits or times of the same server.
 	invalidLimitInterval = 10 * time.Second
 	// hubSilence is how long a hub must not have been heard of before the next one in
 	// rank allocates instead. Hubs of a zone exchange every 60 ms.
@@ -52,7 +52,7 @@
 	allocator *quota.Allocator
 
 	mu sync.Mutex
-	// invalidAt is when an invalid limit of a server was last logged.
+	// invalidAt is when an invalid limit or time of a server was last logged.
 	invalidAt map[string]time.Time
 	// heardAt is when each hub of the zone was last heard of, or first listed.
 	heardAt map[string]time.Time
@@ -96,6 +96,12 @@
 	if info.Leaving {
 		l.observeLeaving(now, server.Incarnation())
 	}
+	if info.InvalidWait != nil {
+		l.logInvalid(now, server, info.InvalidWait)
+	}
+	if info.Wait > 0 && l.book.ObserveWait(now, server.Incarnation(), info.Wait) {
+		l.logWait(server.Incarnation(), info.Wait, "response")
+	}
 	switch {
 	case info.InvalidLimit != nil:
 		l.logInvalid(now, server, info.InvalidLimit)
@@ -123,6 +129,12 @@
 	g.viewChanged()
 }
 
+func (l *limits) logWait(inc registry.Incarnation, wait time.Duration, source string) {
+	event.ServerWaits.Log(l.gateway.logger, logrus.Fields{
+		"server": inc.ID, "born": inc.StartTime, "wait-ms": wait.Milliseconds(), "source": source,
+	})
+}
+
 // merge takes over what another entry reports.
 func (l *limits) merge(now time.Time, reported []quota.Statement, from string) {
 	if changes := l.book.Merge(now, reported); len(changes) > 0 {
@@ -136,6 +148,9 @@
 		if c.Leaving {
 			l.applyLeaving(c.Server, source)
 		}
+		if c.Wait > 0 {
+			l.logWait(c.Server, c.Wait, source)
+		}
 		if c.Rate == c.Previous {
 			continue
 		}
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -65,6 +65,10 @@
 	InvalidLimit error
 	// Leaving is set if the server says that it leaves.
 	Leaving bool
+	// Wait is for how long the server wants no requests of this entry, or 0. If it
+	// names an invalid time, InvalidWait tells why it is ignored.
+	Wait        time.Duration
+	InvalidWait error
 }
 
 // Protocol decodes and encodes the headers of requests and responses.
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -192,8 +192,12 @@
 				}
 			},
 			DecodeResponse: func(h http.Header, status int) gateway.ResponseInfo {
+				s, _ := strconv.ParseFloat(h.Get("Retry-After"), 64) // absent means no wait
+				if status != http.StatusServiceUnavailable {
+					s = 0
+				}
 				return gateway.ResponseInfo{
-					ID: h.Get("Id"), Signed: h.Get("Receipt") != "",
+					ID: h.Get("Id"), Signed: h.Get("Receipt") != "", Wait: time.Duration(s * float64(time.Second)),
 					NotRun: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest,
 				}
 			},
--- a/internal/peer/quota_wire.go
+++ b/internal/peer/quota_wire.go
@@ -21,6 +21,7 @@
 	Rate      float64 `cbor:"3,keyasint,omitempty"`
 	AgeMS     int64   `cbor:"4,keyasint,omitempty"`
 	Leaving   bool    `cbor:"5,keyasint,omitempty"`
+	WaitMS    int64   `cbor:"6,keyasint,omitempty"`
 }
 
 type demandWire struct {
@@ -52,6 +53,7 @@
 	for _, l := range m.Statements {
 		w.Statements = append(w.Statements, statementWire{
 			Server: l.Server.ID, StartTime: l.Server.StartTime, Rate: l.Rate, AgeMS: l.Age.Milliseconds(), Leaving: l.Leaving,
+			WaitMS: l.Wait.Milliseconds(),
 		})
 	}
 	for _, d := range m.Demands {
@@ -77,6 +79,7 @@
 		m.Statements = append(m.Statements, quota.Statement{
 			Server: registry.Incarnation{ID: l.Server, StartTime: l.StartTime}, Rate: l.Rate,
 			Age: time.Duration(l.AgeMS) * time.Millisecond, Leaving: l.Leaving,
+			Wait: time.Duration(l.WaitMS) * time.Millisecond,
 		})
 	}
 	for _, d := range w.Demands {
--- a/internal/quota/book.go
+++ b/internal/quota/book.go
@@ -15,6 +15,9 @@
 	// unlistedTTL is how long the limit of a server is kept that the registry does
 	// not list. Its record may arrive later than its limit.
 	unlistedTTL = 10 * time.Second
+	// waitResolution is by how much a wait must grow to count as changed. Times are
+	// passed on in milliseconds, and take some to arrive.
+	waitResolution = 50 * time.Millisecond
 )
 
 // Statement is what one incarnation of a server has said of itself.
@@ -28,6 +31,8 @@
 	// Leaving is set if a response has said that the server leaves. It holds for
 	// the rest of the incarnation.
 	Leaving bool
+	// Wait is for how much longer the server wants no requests.
+	Wait time.Duration
 }
 
 // Book holds what the servers have said of themselves, as this entry's responses and
@@ -37,6 +42,8 @@
 	records map[registry.Incarnation]*record
 	// limited is the number of servers that have a limit. It changes with mu held.
 	limited atomic.Int64
+	// lastWait is the latest end of a wait, in nanoseconds since 1970.
+	lastWait atomic.Int64
 }
 
 type record struct {
@@ -47,6 +54,8 @@
 	reportUntil time.Time
 	// leavingSince is when it was first known that the server leaves.
 	leavingSince time.Time
+	// waitUntil is until when the server wants no requests.
+	waitUntil time.Time
 }
 
 // Change is a statement that has changed.
@@ -55,6 +64,8 @@
 	Rate, Previous float64
 	// Leaving is set if the server was not known to leave before.
 	Leaving bool
+	// Wait is for how long the server wants no requests, if that has grown.
+	Wait time.Duration
 }
 
 // NewBook returns an empty Book.
@@ -82,11 +93,7 @@
 }
 
 func (b *Book) observeLeaving(now time.Time, server registry.Incarnation) bool {
-	r := b.records[server]
-	if r == nil {
-		r = &record{}
-		b.records[server] = r
-	}
+	r := b.record(server)
 	if !r.leavingSince.IsZero() {
 		return false
 	}
@@ -94,6 +101,51 @@
 	return true
 }
 
+// ObserveWait records that a response has asked for no requests for some time. It
+// reports whether that is longer than before. A wait never gets shorter: each such
+// response counts by itself.
+func (b *Book) ObserveWait(now time.Time, server registry.Incarnation, wait time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.observeWait(now, server, wait)
+}
+
+func (b *Book) observeWait(now time.Time, server registry.Incarnation, wait time.Duration) bool {
+	until := now.Add(wait)
+	r := b.record(server)
+	if until.Sub(r.waitUntil) < waitResolution {
+		return false
+	}
+	r.waitUntil, r.reportUntil = until, now.Add(reportPeriod)
+	b.lastWait.Store(max(b.lastWait.Load(), until.UnixNano()))
+	return true
+}
+
+// WaitUntil returns until when the server wants or last wanted no requests. It is zero
+// if no server waits or waited lately.
+func (b *Book) WaitUntil(now time.Time, server registry.Incarnation) time.Time {
+	if last := b.lastWait.Load(); last == 0 || now.Sub(time.Unix(0, last)) > unlistedTTL {
+		return time.Time{}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r := b.records[server]; r != nil {
+		return r.waitUntil
+	}
+	return time.Time{}
+}
+
+// record returns the server's record and adds one if there is none. The caller holds
+// b.mu.
+func (b *Book) record(server registry.Incarnation) *record {
+	r := b.records[server]
+	if r == nil {
+		r = &record{}
+		b.records[server] = r
+	}
+	return r
+}
+
 // Merge takes over what another entry reports and returns the changes. Of two
 // observations of a server the later one holds. If the report is older than what is
 // known here and differs, the book reports its own once more, so that the other entry
@@ -107,6 +159,9 @@
 		if s.Leaving && b.observeLeaving(now, s.Server) {
 			change.Server, change.Leaving, changed = s.Server, true, true
 		}
+		if s.Wait > 0 && b.observeWait(now, s.Server, s.Wait) {
+			change.Server, change.Wait, changed = s.Server, s.Wait, true
+		}
 		if changed {
 			changes = append(changes, change)
 		}
@@ -116,11 +171,7 @@
 
 // observe records a rate that was observed at a time. The caller holds b.mu.
 func (b *Book) observe(now, at time.Time, server registry.Incarnation, rate float64) (Change, bool) {
-	r := b.records[server]
-	if r == nil {
-		r = &record{}
-		b.records[server] = r
-	}
+	r := b.record(server)
 	if at.Before(r.observedAt) {
 		if rate != r.rate {
 			r.reportUntil = now.Add(reportPeriod)
@@ -149,9 +200,11 @@
 	defer b.mu.Unlock()
 	var statements []Statement
 	for server, r := range b.records {
-		leaving := !r.leavingSince.IsZero()
-		if now.Before(r.reportUntil) || (all && (r.rate > 0 || leaving)) {
-			statements = append(statements, Statement{Server: server, Rate: r.rate, Age: now.Sub(r.observedAt), Leaving: leaving})
+		leaving, wait := !r.leavingSince.IsZero(), max(r.waitUntil.Sub(now), 0)
+		if now.Before(r.reportUntil) || (all && (r.rate > 0 || leaving || wait > 0)) {
+			statements = append(statements, Statement{
+				Server: server, Rate: r.rate, Age: now.Sub(r.observedAt), Leaving: leaving, Wait: wait,
+			})
 		}
 	}
 	return statements
@@ -178,7 +231,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for server, r := range b.records {
-		if now.Sub(r.observedAt) > unlistedTTL && now.Sub(r.leavingSince) > unlistedTTL && !listed(server) {
+		if now.Sub(r.observedAt) > unlistedTTL && now.Sub(r.leavingSince) > unlistedTTL && now.After(r.waitUntil) && !listed(server) {
 			if r.rate > 0 {
 				b.limited.Add(-1)
 			}
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -90,6 +90,12 @@
 // Limited reports whether the server has a limit.
 func (h *Holder) Limited(server registry.Incarnation) bool { return h.book.Rate(server) > 0 }
 
+// WaitUntil returns until when the server wants or last wanted no requests. It is zero
+// if it has not asked for time lately.
+func (h *Holder) WaitUntil(now time.Time, server registry.Incarnation) time.Time {
+	return h.book.WaitUntil(now, server)
+}
+
 // Allows reports whether the entry may send a request to the server now: if the server
 // has no limit, with a grant, or without contact within the entry's own part.
 func (h *Holder) Allows(now time.Time, server registry.Incarnation) bool {
--- a/internal/site/checker_test.go
+++ b/internal/site/checker_test.go
@@ -22,6 +22,10 @@
 	// drainGrace is the same for a draining server.
 	evacuationGrace = 5 * time.Second
 	drainGrace      = 2 * time.Second
+	// askedGrace is how long after a server asked for time it may still get requests,
+	// and maxAskedArrivals how many may come after that.
+	askedGrace       = 500 * time.Millisecond
+	maxAskedArrivals = 2
 	// coldSlack is the number of requests in one second that a cold server may
 	// get beyond 1.5 times its cold rate.
 	coldSlack = 5
@@ -66,6 +70,8 @@
 	evacuatedAt       map[string]time.Time
 	drainingSince     map[string]time.Time
 	saidLeavingAt     map[string]time.Time
+	askedAt           map[string]time.Time
+	askedArrivals     map[string]int
 	cancelledAt       map[string]time.Time
 	workedAfterCancel map[string]bool
 	seen              map[string]bool
@@ -88,7 +94,8 @@
 	return &checker{
 		logs: map[string]*bytes.Buffer{}, plainRuns: map[string]int{}, unsafe: map[string]bool{}, runs: map[string]map[registry.Incarnation]bool{},
 		lostIncarnations: map[registry.Incarnation]bool{}, rejected: map[string]int{}, revokedAt: map[string]time.Time{},
-		evacuatedAt: map[string]time.Time{}, drainingSince: map[string]time.Time{}, saidLeavingAt: map[string]time.Time{}, cancelledAt: map[string]time.Time{},
+		evacuatedAt: map[string]time.Time{}, drainingSince: map[string]time.Time{}, saidLeavingAt: map[string]time.Time{},
+		askedAt: map[string]time.Time{}, askedArrivals: map[string]int{}, cancelledAt: map[string]time.Time{},
 		workedAfterCancel: map[string]bool{}, seen: map[string]bool{}, requests: map[string][]time.Time{},
 		retries: map[string][]time.Time{}, coldArrivals: map[string][]time.Time{}, keysChangedFor: map[string]bool{},
 		deadlyArrivals: map[string][]time.Time{}, deadlyCrashes: map[string][]time.Time{}, limited: map[string]*limitedServer{},
@@ -166,6 +173,23 @@
 	}
 }
 
+// askedForTime records a request that reaches a server that asks for time. All entries
+// of the site together may send maxAskedArrivals later than askedGrace after the first.
+func (c *checker) askedForTime(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	first, asked := c.askedAt[id]
+	switch {
+	case !asked:
+		c.askedAt[id] = now
+	case now.Sub(first) > askedGrace:
+		if c.askedArrivals[id]++; c.askedArrivals[id] > maxAskedArrivals {
+			c.addViolation("BUDGET: a request reached server %s %s after it asked for time", id, now.Sub(first))
+		}
+	}
+}
+
 // incarnationLost records an incarnation that has ended or has been made
 // unreachable. Its executions don't count as attempts.
 func (c *checker) incarnationLost(h *standin.Host) {
--- a/internal/site/platform_test.go
+++ b/internal/site/platform_test.go
@@ -117,8 +117,13 @@
 		},
 		DecodeResponse: func(h http.Header, status int) gateway.ResponseInfo {
 			limit, _ := strconv.ParseFloat(h.Get(limitHeader), 64) // absent means no limit
+			wait := time.Duration(0)
+			if status == http.StatusServiceUnavailable {
+				s, _ := strconv.ParseFloat(h.Get("Retry-After"), 64) // absent means no wait
+				wait = time.Duration(s * float64(time.Second))
+			}
 			return gateway.ResponseInfo{
-				ID: h.Get("Id"), Signed: h.Get("Receipt") != "", Limit: limit, Leaving: h.Get(leavingHeader) == "1",
+				ID: h.Get("Id"), Signed: h.Get("Receipt") != "", Limit: limit, Leaving: h.Get(leavingHeader) == "1", Wait: wait,
 				NotRun: h.Get(notRunHeader) != "" || status == http.StatusMisdirectedRequest,
 			}
 		},
--- a/internal/site/requests_test.go
+++ b/internal/site/requests_test.go
@@ -77,6 +77,14 @@
 		w.Header().Set(leavingHeader, "1")
 		s.checker.leavingSaid(h.ID)
 	}
+	if left := time.Until(srv.faults.asksUntil); left > 0 {
+		s.checker.askedForTime(h.ID)
+		w.Header().Set(notRunHeader, "1")
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Retry-After", strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return srv.faults, false
+	}
 	if h.Service == streamService {
 		m := h.Member
 		if m == nil || m.State != registry.Open || m.Members[0] != h.ID || m.Model != r.Header.Get("Weights") {
--- a/internal/site/server_test.go
+++ b/internal/site/server_test.go
@@ -47,6 +47,8 @@
 	// saysLeaving servers say in their responses that they leave. Their records
 	// don't.
 	saysLeaving bool
+	// asksUntil is until when the server rejects requests and asks for time.
+	asksUntil time.Time
 }
 
 // server is the HTTP server of one incarnation of a backend server. The hosts
