Measure the end of a server's wait on the monotonic clock only

The latest end of all waits was kept as a time of day. After a jump of the time of day by more than 10 s all waits would have counted as over (read in the code; not shown). It now keeps the monotonic reading, as each server's own end did. TestAWaitNeverGetsShorter covers merging and forgetting.

--- a/internal/quota/book.go
+++ b/internal/quota/book.go
@@ -42,8 +42,9 @@
 	records map[registry.Incarnation]*record
 	// limited is the number of servers that have a limit. It changes with mu held.
 	limited atomic.Int64
-	// lastWait is the latest end of a wait, in nanoseconds since 1970.
-	lastWait atomic.Int64
+	// lastWait is the latest end of a wait. It changes with mu held. It keeps the
+	// monotonic clock's reading, since the time of day may jump.
+	lastWait atomic.Pointer[time.Time]
 }
 
 type record struct {
@@ -117,14 +118,16 @@
 		return false
 	}
 	r.waitUntil, r.reportUntil = until, now.Add(reportPeriod)
-	b.lastWait.Store(max(b.lastWait.Load(), until.UnixNano()))
+	if last := b.lastWait.Load(); last == nil || until.After(*last) {
+		b.lastWait.Store(&until)
+	}
 	return true
 }
 
 // WaitUntil returns until when the server wants or last wanted no requests. It is zero
 // if no server waits or waited lately.
 func (b *Book) WaitUntil(now time.Time, server registry.Incarnation) time.Time {
-	if last := b.lastWait.Load(); last == 0 || now.Sub(time.Unix(0, last)) > unlistedTTL {
+	if last := b.lastWait.Load(); last == nil || now.Sub(*last) > unlistedTTL {
 		return time.Time{}
 	}
 	b.mu.Lock()
--- a/internal/quota/book_test.go
+++ b/internal/quota/book_test.go
@@ -131,3 +131,25 @@
 		require.Empty(t, other.Report(later, true))
 	}
 }
+
+// A wait holds until its end, whatever shorter ones come later, and reaches the others.
+func TestAWaitNeverGetsShorter(t *testing.T) {
+	own, other := quota.NewBook(), quota.NewBook()
+	require.True(t, own.WaitUntil(began, server).IsZero())
+	require.True(t, own.ObserveWait(began, server, 5*time.Second))
+	require.False(t, own.ObserveWait(began.Add(time.Second), server, time.Second))
+	later := began.Add(2 * time.Second)
+	changes := other.Merge(later, own.Report(later, true))
+	require.Equal(t, []quota.Change{{Server: server, Wait: 3 * time.Second}}, changes)
+	require.Empty(t, other.Merge(later, own.Report(later, true)))
+	for _, b := range []*quota.Book{own, other} {
+		require.Equal(t, began.Add(5*time.Second), b.WaitUntil(later, server))
+		require.True(t, b.WaitUntil(later, registry.Incarnation{ID: "i-2"}).IsZero())
+	}
+	require.True(t, own.ObserveWait(later, server, 4*time.Second))
+	require.Equal(t, began.Add(6*time.Second), own.WaitUntil(later, server))
+	own.Retain(later, func(registry.Incarnation) bool { return false })
+	require.False(t, own.WaitUntil(later, server).IsZero(), "a wait is kept to its end")
+	own.Retain(began.Add(time.Hour), func(registry.Incarnation) bool { return false })
+	require.True(t, own.WaitUntil(began.Add(time.Hour), server).IsZero())
+}
