Read the instance's memory from the gateway's settings

The gateway did not know how much memory its instance has, so the Go runtime let the heap grow to twice what was in use, whatever the instance had. The settings now hold limits.memory-mb, which the platform's template fills in, and the runtime collects garbage harder from 0.8 of it. Nothing bounds yet what clients may make the entry hold.

--- a/internal/command/gateway/gateway.go
+++ b/internal/command/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"reflect"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -35,6 +36,10 @@
 	// costs a timeout.
 	idleConnTimeout   = 5 * time.Second
 	maxIdleStoreConns = 6
+	// heapFraction is the fraction of the instance's memory above which the Go
+	// runtime collects garbage more often. The program's code and the kernel's
+	// buffers take the rest.
+	heapFraction = 0.8
 	// tcpUserTimeout closes connections whose sent data stays unacknowledged.
 	tcpUserTimeout = 1500 * time.Millisecond
 )
@@ -80,6 +85,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(int64(heapFraction * float64(s.Limits.MemoryBytes)))
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -39,6 +40,8 @@
 	FirstStart bool
 	// Bounds holds the limits that the operators guarantee to callers.
 	Bounds GatewayBounds
+	// Limits bounds what clients may make the entry hold.
+	Limits GatewayLimits
 	// LogLevel is the name of a logrus level.
 	LogLevel string
 }
@@ -61,6 +64,21 @@
 	RetrySlack float64
 }
 
+// GatewayLimits bounds what clients may make the entry hold.
+type GatewayLimits struct {
+	// MemoryBytes is the memory of the entry's instance.
+	MemoryBytes int64
+}
+
+// megabyte is the unit of memory-mb.
+const megabyte = 1_000_000
+
+// Default value and minimum of GatewayLimits. The smallest instances have the default.
+const (
+	defaultMemoryMB = 184
+	minMemoryMB     = 64
+)
+
 // defaultProcessorShare is a whole core.
 const defaultProcessorShare = 1
 
@@ -107,6 +125,7 @@
 		FirstStart:       o.boolean("first-start"),
 		LogLevel:         o.text("log-level", "info", false),
 		Bounds:           r.gatewayBounds(o.object("bounds", false)),
+		Limits:           r.gatewayLimits(o.object("limits", false)),
 	}
 	if _, err := logrus.ParseLevel(g.LogLevel); err != nil {
 		r.addFinding(o.members["log-level"].StartOffset, "log-level is not a known level", `write "info", "warning" or "debug"`)
@@ -127,3 +146,13 @@
 	o.reportUnknown()
 	return b
 }
+
+func (r *reader) gatewayLimits(o *object) GatewayLimits {
+	memory := o.number("memory-mb", defaultMemoryMB)
+	if memory < minMemoryMB {
+		r.addFinding(o.members["memory-mb"].StartOffset, o.fullName("memory-mb")+" is out of range",
+			"write the megabytes of the instance, "+strconv.Itoa(minMemoryMB)+" or more")
+	}
+	o.reportUnknown()
+	return GatewayLimits{MemoryBytes: int64(memory * megabyte)}
+}
