Send large request bodies without a second copy

Each attempt copied the request's body behind its head before it wrote both, so a body of 4 MiB took 8 MiB while it was sent. Bodies over 16 KiB are now written from where they are; smaller ones still go out with the head in one write.

go test ./internal/backend passes.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -100,7 +100,7 @@
 	c.exchanges++
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	x := &Exchange{conn: c, pool: p, stop: stop}
-	if n, err := c.Write(r.encode()); err != nil {
+	if n, err := r.writeTo(c); err != nil {
 		stage := Sent
 		if n == 0 {
 			stage = Unsent
@@ -202,12 +202,33 @@
 	return 0
 }
 
-// encode returns the request in wire format. Header fields are written
+// joinBodyBytes is the size up to which a body is copied behind the request's head, so
+// that one write sends both.
+const joinBodyBytes = 16 << 10
+
+// writeTo writes the request in wire format and returns how many bytes were written.
+func (r *Request) writeTo(w io.Writer) (int, error) {
+	head := r.encodeHead()
+	if len(r.Body) <= joinBodyBytes {
+		return w.Write(append(head, r.Body...))
+	}
+	n, err := w.Write(head)
+	if err != nil {
+		return n, err
+	}
+	more, err := w.Write(r.Body)
+	return n + more, err
+}
+
+// encodeHead returns the request's head in wire format. Header fields are written
 // unchanged. Host is set from r.Host, and Content-Length from the body, so Header
 // must hold neither. A request without a body has no Content-Length unless its
 // method is POST, PUT or PATCH.
-func (r *Request) encode() []byte {
-	size := len(r.Method) + len(r.Target) + len(r.Host) + len(r.Body) + 64
+func (r *Request) encodeHead() []byte {
+	size := len(r.Method) + len(r.Target) + len(r.Host) + 64
+	if len(r.Body) <= joinBodyBytes {
+		size += len(r.Body)
+	}
 	for name, values := range r.Header {
 		for _, value := range values {
 			size += len(name) + len(value) + 4
@@ -233,8 +254,7 @@
 		b = strconv.AppendInt(b, int64(len(r.Body)), 10)
 		b = append(b, "\r\n"...)
 	}
-	b = append(b, "\r\n"...)
-	return append(b, r.Body...)
+	return append(b, "\r\n"...)
 }
 
 // conn is a pooled connection to a backend server.
