--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -86,6 +86,7 @@
 	seen        map[registry.Incarnation]bool
 	firstSeenAt time.Time
 	lastSeenAt  time.Time
+	planner     demandPlanner
 }
 
 type orderKey struct {
@@ -117,6 +118,7 @@
 		zone: zone, zones: max(len(zones), 1), brokenAfter: brokenAfter, epochBase: int64(term) * epochsPerTerm,
 		groups: make(map[registry.GroupID]*Group), sentOrders: make(map[orderKey]sentOrder), domains: make(map[registry.GroupID]string),
 		loadLimiter: newLoadLimiter(rank), seen: make(map[registry.Incarnation]bool),
+		planner: demandPlanner{mismatchSince: make(map[domainPair]time.Time)},
 	}
 	c.restore(recorded)
 	return c
@@ -157,6 +159,9 @@
 	PhaseChanges []PhaseChange
 	// ServersToProbe lists the servers to probe.
 	ServersToProbe []string
+	// Plan describes the plan of the groups by model, for the log and the metrics. It
+	// is nil if the step planned nothing.
+	Plan *PlanReport
 }
 
 // PhaseChange describes the change of a group to another phase.
--- /dev/null
+++ b/internal/formation/demand.go
@@ -0,0 +1,127 @@
+package formation
+
+import (
+	"time"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/demand"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/registry"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/routes"
+)
+
+const (
+	// utilisation is the share of a group's time that the demand may take. At a
+	// higher one, streams miss the objective of their first event.
+	utilisation = 0.75
+	// settledAfter is how long the demand must have been known before groups are
+	// formed beyond it or are given up.
+	settledAfter = demand.LongSpan
+)
+
+// Demand is the work that the requests of the zone bring.
+type Demand struct {
+	// Rates is empty if the work is not known.
+	Rates []demand.Rate
+	// Partial is set if some entries of the zone may be missing in Rates.
+	Partial bool
+}
+
+// PlanReport describes a plan, for the log and the metrics.
+type PlanReport struct {
+	// ByDemand is not set if the groups are planned by the initial shares. Models and
+	// the numbers of servers are then empty.
+	ByDemand bool
+	// Changed is set if the targets are others than in the last report with Changed.
+	Changed bool
+	Models  []ModelPlan
+	// Spares is the number of servers that are kept out of groups for repairs, Idle
+	// the number of those that are in none.
+	Spares, Idle int
+}
+
+// ModelPlan is a model's part of a plan.
+type ModelPlan struct {
+	Model string
+	// Needed is the number of groups that the demand calls for, Target what the
+	// zone's servers allow, and Existing what the zone has or forms.
+	Needed           float64
+	Target, Existing int
+}
+
+// demandPlanner keeps what planning by demand needs to know from one step to the next.
+type demandPlanner struct {
+	history demand.History
+	partial bool
+	losses  lossCounter
+	repairs repairs
+	changes changes
+	// mismatchSince holds since when a domain has had the wrong spares.
+	mismatchSince map[domainPair]time.Time
+	// plan is the plan of the current step, or nil if it plans by share.
+	plan *demandPlan
+	// reported is the last report with Changed set, at reportedAt.
+	reported   PlanReport
+	reportedAt time.Time
+}
+
+// planReportInterval is the minimum time between two reports with Changed set. The
+// demand, and with it the targets, can change with each step.
+const planReportInterval = time.Second
+
+// SetDemand sets the zone's demand as of now, before a step. Without rates, the last
+// ones stay in use for some time; after that the groups are planned by the models'
+// initial shares.
+func (c *Controller) SetDemand(now time.Time, d Demand) {
+	c.planner.history.Add(now, d.Rates)
+	c.planner.partial = d.Partial
+}
+
+// demandPlan is what one step plans by demand.
+type demandPlan struct {
+	state *zoneState
+	// needed is the number of groups of each model that the demand calls for.
+	needed map[string]float64
+	// targets is the number of groups that the zone's servers allow, goals what can
+	// be reached without giving up a group.
+	targets, goals map[string]int
+	existing       map[string]int
+}
+
+// planByDemand returns the plan by demand, or nil if the groups are planned by share.
+// It must be called in each step, since it also follows the losses.
+func (c *Controller) planByDemand(now time.Time, v *registry.View, service string, e *routes.Engine, probe func(string) ProbeResult, existing map[string]int) *demandPlan {
+	p := &c.planner
+	p.losses.observe(now, v, c.zone, service)
+	p.repairs.observe(now, c.groups)
+	p.changes.observe(now, c.groups)
+	if c.bootstrapping || len(e.Models) < 2 || !e.Timed() || !p.history.Known(now) {
+		return nil
+	}
+	s := c.newZoneState(v, service, e, probe)
+	plan := &demandPlan{state: s, needed: make(map[string]float64), existing: existing}
+	for _, m := range e.Models {
+		plan.needed[m.Name] = p.history.Planned(m.Name) / utilisation
+	}
+	plan.targets = s.targets(plan.needed)
+	plan.goals = s.goals(plan, p.repairs.due(now), p.history.KnownFor(now) >= settledAfter)
+	return plan
+}
+
+// report describes the plan of the current step.
+func (p *demandPlanner) report(now time.Time, idle int) *PlanReport {
+	r := PlanReport{ByDemand: p.plan != nil}
+	r.Changed = r.ByDemand != p.reported.ByDemand
+	if p.plan != nil {
+		r.Spares, r.Idle = p.plan.state.spares, idle
+		for i, m := range p.plan.state.models {
+			mp := ModelPlan{
+				Model: m.Name, Needed: p.plan.needed[m.Name], Target: p.plan.targets[m.Name], Existing: p.plan.existing[m.Name],
+			}
+			r.Models = append(r.Models, mp)
+			r.Changed = r.Changed || i >= len(p.reported.Models) || p.reported.Models[i].Target != mp.Target
+		}
+	}
+	if r.Changed = r.Changed && now.Sub(p.reportedAt) >= planReportInterval; r.Changed {
+		p.reported, p.reportedAt = r, now
+	}
+	return &r
+}
--- /dev/null
+++ b/internal/formation/losses.go
@@ -0,0 +1,103 @@
+package formation
+
+import (
+	"maps"
+	"math"
+	"time"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/registry"
+)
+
+const (
+	// lossSpan is how far back losses of servers are counted.
+	lossSpan = 30 * time.Second
+	// repairTime is the time of a load and a repair. The spares must last for the
+	// losses in that time.
+	repairTime = 20 * time.Second
+	// repairTTL is how long servers are set aside for the repair of a lost group.
+	repairTTL = 30 * time.Second
+)
+
+// lossCounter counts the servers of a zone that were lost.
+type lossCounter struct {
+	known map[registry.Incarnation]bool
+	// lost holds when each incarnation was lost.
+	lost map[registry.Incarnation]time.Time
+}
+
+// observe compares the zone's servers with those of the last step. An incarnation
+// whose record comes back was not lost.
+func (l *lossCounter) observe(now time.Time, v *registry.View, zone, service string) {
+	current := make(map[registry.Incarnation]bool, len(l.known))
+	for _, srv := range v.Servers {
+		if srv.Zone == zone && srv.Service == service && !srv.Leaving {
+			current[srv.Incarnation()] = true
+			delete(l.lost, srv.Incarnation())
+		}
+	}
+	if l.lost == nil {
+		l.lost = make(map[registry.Incarnation]time.Time)
+	}
+	for inc := range l.known {
+		if !current[inc] {
+			l.lost[inc] = now
+		}
+	}
+	l.known = current
+	maps.DeleteFunc(l.lost, func(_ registry.Incarnation, at time.Time) bool { return now.Sub(at) > lossSpan })
+}
+
+// expected returns the number of losses to expect within repairTime.
+func (l *lossCounter) expected() int {
+	return int(math.Ceil(float64(len(l.lost)) * repairTime.Seconds() / lossSpan.Seconds()))
+}
+
+// repairs tracks the groups that were lost and are to be formed again.
+type repairs struct {
+	// active holds the models of the groups that served or were being formed in the
+	// last step.
+	active map[registry.GroupID]string
+	// lostAt holds when groups of a model were lost, the oldest first.
+	lostAt map[string][]time.Time
+}
+
+// observe compares the groups with those of the last step. A new group stands for the
+// repair of the oldest lost one.
+func (r *repairs) observe(now time.Time, groups map[registry.GroupID]*Group) {
+	if r.lostAt == nil {
+		r.lostAt = make(map[string][]time.Time)
+	}
+	active := make(map[registry.GroupID]string, len(groups))
+	for id, g := range groups {
+		if g.Phase >= Draining {
+			continue
+		}
+		active[id] = g.Model
+		if _, found := r.active[id]; !found && len(r.lostAt[g.Model]) > 0 {
+			r.lostAt[g.Model] = r.lostAt[g.Model][1:]
+		}
+	}
+	for id, model := range r.active {
+		if _, found := active[id]; !found {
+			r.lostAt[model] = append(r.lostAt[model], now)
+		}
+	}
+	r.active = active
+}
+
+// giveUp makes a group count as given up rather than lost.
+func (r *repairs) giveUp(id registry.GroupID) { delete(r.active, id) }
+
+// due returns the number of groups of each model that are to be formed again. Servers
+// for them are set aside.
+func (r *repairs) due(now time.Time) map[string]int {
+	due := make(map[string]int)
+	for model, times := range r.lostAt {
+		for len(times) > 0 && now.Sub(times[0]) > repairTTL {
+			times = times[1:]
+		}
+		r.lostAt[model] = times
+		due[model] = len(times)
+	}
+	return due
+}
--- a/internal/formation/placement.go
+++ b/internal/formation/placement.go
@@ -47,11 +47,13 @@
 // model soonest. After the first request it takes only servers that have the
 // weights staged or loaded. The others are staged first, because ready members
 // would otherwise sit idle while one of them loads. Ties go to the domain with
-// the fewest groups of the model, then to the one with the most free servers.
+// the fewest groups of the model, then to the one with the most free servers. A plan by
+// demand first weighs what the group leaves over in the domain.
 func (c *Controller) chooseMembers(free map[string][]*registry.Server, m routes.Model) (string, []*registry.Server) {
 	type candidate struct {
 		domain      string
 		members     []*registry.Server
+		waste       int
 		cost        int
 		groups      int
 		freeServers int
@@ -59,6 +61,9 @@
 	var best *candidate
 	for domain, servers := range free {
 		ranked := slices.Clone(servers)
+		if c.planner.plan != nil {
+			ranked = slices.DeleteFunc(ranked, func(srv *registry.Server) bool { return c.restaging(srv, m.Name) })
+		}
 		slices.SortStableFunc(ranked, func(a, b *registry.Server) int {
 			return joinCost(a, m.Name) - joinCost(b, m.Name)
 		})
@@ -73,7 +78,10 @@
 		if cand.cost >= coldJoinCost && !c.bootstrapping {
 			continue
 		}
-		if best == nil || cmp.Or(cmp.Compare(cand.cost, best.cost), cmp.Compare(cand.groups, best.groups),
+		if c.planner.plan != nil {
+			cand.waste = c.planner.plan.wastes(m, len(servers))
+		}
+		if best == nil || cmp.Or(cmp.Compare(cand.waste, best.waste), cmp.Compare(cand.cost, best.cost), cmp.Compare(cand.groups, best.groups),
 			cmp.Compare(best.freeServers, cand.freeServers), cmp.Compare(cand.domain, best.domain)) < 0 {
 			best = cand
 		}
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -25,6 +25,11 @@
 			existing[g.Model]++
 		}
 	}
+	byDemand := c.planByDemand(now, v, service, e, probe, existing)
+	if c.planner.plan = byDemand; byDemand != nil {
+		targets = byDemand.goals
+	}
+	d.Plan = c.planner.report(now, countServers(free))
 	for {
 		if budget.spent() {
 			return
@@ -36,6 +41,17 @@
 		budget.take(g)
 	}
 	c.stageWeights(now, v, free, c.survivors(v, probe), missingGroups(targets, existing), e, d)
+	if byDemand != nil {
+		c.giveUpGroups(now, byDemand, d)
+	}
+}
+
+func countServers(byDomain map[string][]*registry.Server) int {
+	n := 0
+	for _, list := range byDomain {
+		n += len(list)
+	}
+	return n
 }
 
 // modelDomain identifies the servers of a fabric domain that hold a model's weights.
--- a/internal/formation/stage.go
+++ b/internal/formation/stage.go
@@ -25,6 +25,12 @@
 			}
 		}
 	}
+	if c.planner.plan != nil {
+		for _, domain := range c.planner.plan.state.domains {
+			c.stageSparesByDemand(now, v, domain, idle[domain], e, d)
+		}
+		return
+	}
 	for domain, servers := range idle {
 		c.stageSpares(now, v, domain, servers, e, d)
 	}
@@ -137,11 +143,14 @@
 
 // stageServer orders the server to stage the model if no stage is pending there
 // and the load limit allows a load now. It reports whether a stage is pending
-// afterwards, which may be of another model.
+// afterwards, which may be of another model, or is prepared.
 func (c *Controller) stageServer(now time.Time, v *registry.View, srv *registry.Server, model string, e *routes.Engine, d *Decision) bool {
 	if _, staging := c.pendingStage(srv); staging {
 		return true
 	}
+	if !c.prepareStage(now, srv, model, d) {
+		return true
+	}
 	if !c.loadLimiter.allow(now, e, c.zones, c.loadsInProgress(v, now), c.bootstrapping) {
 		return false
 	}
--- a/internal/gateway/control_loop.go
+++ b/internal/gateway/control_loop.go
@@ -167,9 +167,11 @@
 		return
 	}
 	v := cl.gateway.registry.View()
+	cl.controller.SetDemand(now, cl.gateway.demands.zone(time.Now()))
 	cl.controller.SetBootstrapping(cl.gateway.settings.FirstStart && cl.gateway.metrics.requests.Value() == 0)
 	d := cl.controller.Step(now, v, service, engine, cl.prober.result)
 	cl.logPhaseChanges(d.PhaseChanges)
+	cl.gateway.demands.reportPlan(d.Plan)
 	cl.prober.probe(ctx, v, append(d.ServersToProbe, cl.stalledMembers(v)...))
 	if !cl.renewIfDue(ctx, now, d.NewGroups, d.ObsoleteRecords) {
 		return
@@ -186,7 +188,10 @@
 // engine has models. The engine is nil if there is none or no configuration has
 // been received.
 func (cl *controlLoop) service() (string, *routes.Engine) {
-	table := cl.gateway.configCache.table.Load()
+	return modelService(cl.gateway.configCache.table.Load())
+}
+
+func modelService(table *routes.Table) (string, *routes.Engine) {
 	if table == nil {
 		return "", nil
 	}
--- /dev/null
+++ b/internal/gateway/demand.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/hibiscuspulley/hibiscuspulley/internal/demand"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/event"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/formation"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/routes"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/settings"
+)
+
+const (
+	// invalidDemandInterval is the minimum time between two log lines about invalid
+	// reports of the same entry.
+	invalidDemandInterval = 10 * time.Second
+	// demandSilence is how long a hub of the zone must not have been heard of for the
+	// zone's demand to count as known in part only. Hubs exchange every 60 ms.
+	demandSilence = 3 * time.Second
+)
+
+// demands measures the work that callers' requests bring, tells it to the other entries
+// and collects what they tell.
+type demands struct {
+	gateway *Gateway
+	meter   *demand.Meter
+	// askers holds the reports of the entries that this one relays for, hubs those of
+	// the other hubs, which include the entries that they relay for.
+	askers, hubs *demand.Book
+
+	mu sync.Mutex
+	// heardAt is when each hub was last heard of, invalidAt when an invalid report of
+	// an entry was last logged.
+	heardAt, invalidAt map[string]time.Time
+	// plan is the last plan of the zone's controller, if this entry runs it.
+	plan formation.PlanReport
+}
+
+func newDemands(g *Gateway) *demands {
+	return &demands{
+		gateway: g, meter: demand.NewMeter(), askers: demand.NewBook(), hubs: demand.NewBook(),
+		heardAt: make(map[string]time.Time), invalidAt: make(map[string]time.Time),
+	}
+}
+
+// publish adds the plan of the zone's controller to the metrics.
+func (d *demands) publish(vars *expvar.Map) {
+	byModel := func(value func(formation.ModelPlan) any) expvar.Func {
+		return func() any {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			values := make(map[string]any)
+			if !d.gateway.control.isHolder.Load() {
+				return values
+			}
+			for _, m := range d.plan.Models {
+				values[m.Model] = value(m)
+			}
+			return values
+		}
+	}
+	vars.Set("groups-needed", byModel(func(m formation.ModelPlan) any { return m.Needed }))
+	vars.Set("groups-target", byModel(func(m formation.ModelPlan) any { return m.Target }))
+	vars.Set("groups-existing", byModel(func(m formation.ModelPlan) any { return m.Existing }))
+}
+
+// record measures a model request that has arrived. Only the service whose replica
+// groups the entries form is measured.
+func (d *demands) record(c *call) {
+	if c.route.Kind != routes.Streaming || c.info.Model == "" {
+		return
+	}
+	service, engine := modelService(c.table)
+	if engine == nil || service != c.service || len(engine.Models) < 2 {
+		return
+	}
+	d.meter.Record(c.started, engine, demand.Request{
+		Model: c.info.Model, PromptTokens: c.info.PromptTokens, ResponseTokens: c.expectedTokens(engine),
+		Content: c.contentID(), Timeout: c.deadline.Sub(c.started),
+	})
+}
+
+// expectedTokens returns the expected length of the response: the caller's estimate, or
+// else the mean of all responses, within the request's limit.
+func (c *call) expectedTokens(e *routes.Engine) int {
+	tokens := c.info.HintTokens
+	if tokens <= 0 {
+		tokens = e.MeanResponseTokens
+	}
+	if c.info.MaxTokens > 0 && (tokens <= 0 || tokens > c.info.MaxTokens) {
+		tokens = c.info.MaxTokens
+	}
+	return tokens
+}
+
+// subtree returns the rates of this entry and of those that it relays for.
+func (d *demands) subtree(now time.Time) []demand.Rate {
+	return demand.Sum(d.meter.Rates(now), d.askers.Rates(now, d.gateway.settings.Zone))
+}
+
+// hearAsker takes the report of an entry that this one relays for.
+func (d *demands) hearAsker(now time.Time, entry string, rates []demand.Rate) {
+	if err := d.askers.Set(now, entry, d.gateway.settings.Zone, rates); err != nil {
+		d.logInvalid(now, entry, err)
+	}
+}
+
+// hearHub takes the report of another hub, which may be empty.
+func (d *demands) hearHub(now time.Time, entry, zone string, rates []demand.Rate) {
+	d.mu.Lock()
+	d.heardAt[entry] = now
+	d.mu.Unlock()
+	if err := d.hubs.Set(now, entry, zone, rates); err != nil {
+		d.logInvalid(now, entry, err)
+	}
+}
+
+func (d *demands) logInvalid(now time.Time, entry string, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if at, found := d.invalidAt[entry]; found && now.Sub(at) < invalidDemandInterval {
+		return
+	}
+	d.invalidAt[entry] = now
+	event.DemandInvalid.Log(d.gateway.logger, logrus.Fields{"entry": entry, "error": err})
+}
+
+// zone returns the demand of this entry's zone. It is not known to an entry that is no
+// hub, since the other entries report to the hubs.
+func (d *demands) zone(now time.Time) formation.Demand {
+	hubs, own := d.gateway.relays.hubs()
+	if !own || d.gateway.settings.Planning == settings.PlanByShare {
+		return formation.Demand{}
+	}
+	zone := d.gateway.settings.Zone
+	result := formation.Demand{Rates: demand.Sum(d.subtree(now), d.hubs.Rates(now, zone))}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, h := range hubs {
+		at, heard := d.heardAt[h.Name]
+		if h.Zone == zone && h.Name != d.gateway.settings.Name && (!heard || now.Sub(at) > demandSilence) {
+			result.Partial = true
+		}
+	}
+	return result
+}
+
+// reportPlan logs a plan if its targets have changed, and keeps it for the metrics. A
+// nil plan is ignored.
+func (d *demands) reportPlan(p *formation.PlanReport) {
+	if p == nil {
+		return
+	}
+	d.mu.Lock()
+	basisChanged := d.plan.ByDemand != p.ByDemand
+	d.plan = *p
+	d.mu.Unlock()
+	if basisChanged {
+		event.PlanBasisChanged.Log(d.gateway.logger, logrus.Fields{"by-demand": p.ByDemand})
+	}
+	if !p.Changed || !p.ByDemand {
+		return
+	}
+	fields := logrus.Fields{"spares": p.Spares, "idle": p.Idle}
+	for _, m := range p.Models {
+		fields["needed-"+m.Model], fields["target-"+m.Model], fields["existing-"+m.Model] = m.Needed, m.Target, m.Existing
+	}
+	event.PlanChanged.Log(d.gateway.logger, fields)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -105,6 +105,7 @@
 	crashes   *crashDetector
 	isolation *isolation
 	limits    *limits
+	demands   *demands
 	// clients bounds what callers and other clients can make the entry hold.
 	clients *connlimit.Limiter
 	// peers exchanges in-flight loads with the other entries.
@@ -177,6 +178,8 @@
 	g.crashes = newCrashDetector(g)
 	g.isolation = newIsolation(g)
 	g.isolation.publish(g.metrics.vars)
+	g.demands = newDemands(g)
+	g.demands.publish(g.metrics.vars)
 	g.tables = newTables(g)
 	g.relays = newRelays(g)
 	g.control = newControlLoop(g)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -107,7 +107,11 @@
 		}
 	}
 	defer func() { g.clients.Release(r.Context(), c.reserved) }()
-	if !g.admit(w, r, c) || g.isolation.hold(w, c) {
+	if !g.admit(w, r, c) {
+		return
+	}
+	g.demands.record(c)
+	if g.isolation.hold(w, c) {
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -197,7 +197,7 @@
 	sentAt := time.Now()
 	reply, err := p.link.Call(ctx, peer.Request{Exchange: &peer.Exchange{
 		Entry: ps.gateway.settings.Name, Zone: ps.gateway.settings.Zone, Loads: ps.subtreeLoads(p.zone),
-		Parts: ps.gateway.isolation.tracker.Report(sentAt), Quota: ps.quotaMessage(sentAt, p),
+		Parts: ps.gateway.isolation.tracker.Report(sentAt), Quota: ps.quotaMessage(sentAt, p), Demand: ps.gateway.demands.subtree(sentAt),
 	}})
 	var grants []quota.Grant
 	// After a failure the link redials. Its connection handler logs the lost
@@ -206,6 +206,7 @@
 		ps.storeLoads(reply.Exchange.Entry, reply.Exchange.Loads)
 		now := time.Now()
 		ps.gateway.isolation.tracker.Forward(now, reply.Exchange.Parts)
+		ps.gateway.demands.hearHub(now, p.name, p.zone, reply.Exchange.Demand)
 		limits.heard(now, p.name)
 		limits.merge(sentAt, reply.Exchange.Quota.Statements, p.name)
 		limits.accept(now, p.name, reply.Exchange.Quota)
@@ -350,6 +351,7 @@
 	ps.storeLoads(r.Exchange.Entry, r.Exchange.Loads)
 	now := time.Now()
 	ps.gateway.isolation.tracker.Forward(now, r.Exchange.Parts)
+	ps.gateway.demands.hearHub(now, r.Exchange.Entry, r.Exchange.Zone, r.Exchange.Demand)
 	limits, name, zone := ps.gateway.limits, r.Exchange.Entry, r.Exchange.Zone
 	limits.heard(now, name)
 	limits.merge(now, r.Exchange.Quota.Statements, name)
@@ -358,7 +360,7 @@
 	return peer.Reply{Exchange: &peer.ExchangeReply{
 		Entry: ps.gateway.settings.Name, Zone: ps.gateway.settings.Zone, Ready: ps.gateway.Ready(), Loads: ps.subtreeLoads(zone),
 		Parts: ps.gateway.isolation.tracker.Report(now),
-		Quota: limits.respond(now, name, zone, r.Exchange.Quota),
+		Quota: limits.respond(now, name, zone, r.Exchange.Quota), Demand: ps.gateway.demands.subtree(now),
 	}}
 }
 
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -263,6 +263,7 @@
 		request.Quota = rs.quotaMessage(time.Now(), l, active)
 		if active {
 			request.WantLoads, request.Loads = true, g.peers.subtreeLoads("")
+			request.Demand = g.demands.subtree(time.Now())
 		}
 	}
 	if active && sentAt.Sub(l.sessionsAt) >= sessionsInterval {
@@ -396,6 +397,7 @@
 	reply.Quota = g.limits.respond(time.Now(), r.Entry, g.settings.Zone, r.Quota)
 	if r.WantLoads {
 		g.peers.storeAskerLoads(r.Entry, r.Loads)
+		g.demands.hearAsker(time.Now(), r.Entry, r.Demand)
 		reply.Loads = g.peers.loadsWithout(r.Entry)
 	}
 	for _, t := range g.tables {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hibiscuspulley/hibiscuspulley/internal/demand"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/permit"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/quarantine"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/quota"
@@ -29,6 +30,9 @@
 	Parts quarantine.Report
 	// Quota tells about the request limits of servers.
 	Quota quota.Message
+	// Demand is the work that the requests at the sender, and at the entries that it
+	// relays for, bring. It is empty if that is not known.
+	Demand []demand.Rate
 }
 
 // Load is the number of requests that an entry has in flight at one incarnation of
@@ -62,6 +66,7 @@
 	Loads     []Load
 	Parts     quarantine.Report
 	Quota     quota.Message
+	Demand    []demand.Rate
 }
 
 // SyncReply is the reply to a Sync.
@@ -132,6 +137,7 @@
 	Loads  []Load
 	Parts  quarantine.Report
 	Quota  quota.Message
+	Demand []demand.Rate
 }
 
 // ConfigPull requests the configuration changes that follow a revision.
--- a/internal/peer/sync_wire.go
+++ b/internal/peer/sync_wire.go
@@ -12,6 +12,7 @@
 	Crashes   []crashWire      `cbor:"21,keyasint,omitempty"`
 	Successes []successWire    `cbor:"22,keyasint,omitempty"`
 	Quota     *quotaWire       `cbor:"23,keyasint,omitempty"`
+	Demand    []rateWire       `cbor:"24,keyasint,omitempty"`
 }
 
 type syncReplyWire struct {
@@ -49,7 +50,7 @@
 func syncToWire(s Sync) *syncWire {
 	w := &syncWire{
 		Entry: s.Entry, Sessions: s.Sessions, WantLoads: s.WantLoads, Versions: s.Versions, Roster: s.Roster, Loads: loadsToWire(s.Loads),
-		Quota: quotaToWire(s.Quota),
+		Quota: quotaToWire(s.Quota), Demand: ratesToWire(s.Demand),
 	}
 	w.Crashes, w.Successes = reportToWire(s.Parts)
 	return w
@@ -58,7 +59,7 @@
 func syncFromWire(w syncWire) *Sync {
 	return &Sync{
 		Entry: w.Entry, Sessions: w.Sessions, WantLoads: w.WantLoads, Versions: w.Versions, Roster: w.Roster, Loads: loadsFromWire(w.Loads),
-		Parts: reportFromWire(w.Crashes, w.Successes), Quota: quotaFromWire(w.Quota),
+		Parts: reportFromWire(w.Crashes, w.Successes), Quota: quotaFromWire(w.Quota), Demand: ratesFromWire(w.Demand),
 	}
 }
 
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -53,6 +53,7 @@
 	Crashes        []crashWire         `cbor:"21,keyasint,omitempty"`
 	Successes      []successWire       `cbor:"22,keyasint,omitempty"`
 	Quota          *quotaWire          `cbor:"23,keyasint,omitempty"`
+	Demand         []rateWire          `cbor:"24,keyasint,omitempty"`
 }
 
 type exchangeReplyWire struct {
@@ -66,6 +67,7 @@
 	Crashes   []crashWire   `cbor:"21,keyasint,omitempty"`
 	Successes []successWire `cbor:"22,keyasint,omitempty"`
 	Quota     *quotaWire    `cbor:"23,keyasint,omitempty"`
+	Demand    []rateWire    `cbor:"24,keyasint,omitempty"`
 }
 
 type loadWire struct {
@@ -255,7 +257,7 @@
 func exchangeToWire(e Exchange) *exchangeWire {
 	w := &exchangeWire{
 		Entry: e.Entry, Zone: e.Zone, Revision: e.Revision, Orders: ordersToWire(e.Orders), Loads: loadsToWire(e.Loads),
-		Quota: quotaToWire(e.Quota),
+		Quota: quotaToWire(e.Quota), Demand: ratesToWire(e.Demand),
 	}
 	w.Crashes, w.Successes = reportToWire(e.Parts)
 	for _, c := range e.CreditRequests {
@@ -274,7 +276,7 @@
 func exchangeFromWire(w exchangeWire) *Exchange {
 	e := &Exchange{
 		Entry: w.Entry, Zone: w.Zone, Revision: w.Revision, Orders: ordersFromWire(w.Orders), Loads: loadsFromWire(w.Loads),
-		Parts: reportFromWire(w.Crashes, w.Successes), Quota: quotaFromWire(w.Quota),
+		Parts: reportFromWire(w.Crashes, w.Successes), Quota: quotaFromWire(w.Quota), Demand: ratesFromWire(w.Demand),
 	}
 	for _, c := range w.CreditRequests {
 		e.CreditRequests = append(e.CreditRequests, permit.CreditRequest{
@@ -292,7 +294,7 @@
 func exchangeReplyToWire(r ExchangeReply) *exchangeReplyWire {
 	w := &exchangeReplyWire{
 		Entry: r.Entry, Zone: r.Zone, Revision: r.Revision, Ready: r.Ready, Orders: ordersToWire(r.Orders),
-		Loads: loadsToWire(r.Loads), Quota: quotaToWire(r.Quota),
+		Loads: loadsToWire(r.Loads), Quota: quotaToWire(r.Quota), Demand: ratesToWire(r.Demand),
 	}
 	w.Crashes, w.Successes = reportToWire(r.Parts)
 	for _, g := range r.Grants {
@@ -308,7 +310,7 @@
 	r := &ExchangeReply{
 		Entry: w.Entry, Zone: w.Zone, Revision: w.Revision, Ready: w.Ready, Orders: ordersFromWire(w.Orders),
 		Loads: loadsFromWire(w.Loads), Parts: reportFromWire(w.Crashes, w.Successes),
-		Quota: quotaFromWire(w.Quota),
+		Quota: quotaFromWire(w.Quota), Demand: ratesFromWire(w.Demand),
 	}
 	for _, g := range w.Grants {
 		r.Grants = append(r.Grants, permit.Grant{
--- a/internal/routes/config.go
+++ b/internal/routes/config.go
@@ -128,6 +128,25 @@
 	return time.Duration(t)
 }
 
+// Timed reports whether the configuration states the engine's timing.
+func (e *Engine) Timed() bool { return e.Slots > 0 && e.StepTime > 0 && e.PrefillRate > 0 }
+
+// Work returns for how many seconds a request keeps a replica group of the model busy,
+// if the group's slots are in use. It is 0 for an unknown model or if the engine's
+// timing is not known.
+func (e *Engine) Work(model string, promptTokens, responseTokens int) float64 {
+	m, found := e.Model(model)
+	if !found || !e.Timed() {
+		return 0
+	}
+	perToken := e.StepTime.Seconds()/float64(e.Slots) + e.SequenceTime.Seconds()
+	work := float64(max(promptTokens, 0))/e.PrefillRate + float64(max(responseTokens, 0))*perToken
+	if m.TimeScale > 0 {
+		work *= m.TimeScale
+	}
+	return work
+}
+
 // Service is a set of backend servers that run the same software.
 type Service struct {
 	Name string
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -37,6 +37,9 @@
 	PeerKey string
 	// StoreAddress is the host and port of the platform's store.
 	StoreAddress string
+	// Planning is how the zone's servers are distributed to the models, PlanByDemand
+	// or PlanByShare.
+	Planning string
 	// FirstStart is true at the first start of the whole fleet.
 	FirstStart bool
 	// Bounds holds the limits that the operators guarantee to callers.
@@ -47,6 +50,15 @@
 	LogLevel string
 }
 
+// Values of Gateway.Planning. An empty one means PlanByDemand.
+const (
+	// PlanByDemand follows the work that the requests of each model bring. It needs a
+	// service with more than one model and a configuration with the engine's timing.
+	PlanByDemand = "demand"
+	// PlanByShare follows the models' initial shares of the work.
+	PlanByShare = "share"
+)
+
 // GatewayBounds holds the time limits and the retry budget that all entries enforce
 // together.
 type GatewayBounds struct {
@@ -146,6 +158,7 @@
 		PeerKey:          o.text("peer-key", "", false),
 		ProcessorShare:   o.number("processor-share", defaultProcessorShare),
 		StoreAddress:     r.address(o, "store-address", true),
+		Planning:         o.text("planning", PlanByDemand, false),
 		FirstStart:       o.boolean("first-start"),
 		LogLevel:         o.text("log-level", "info", false),
 		Bounds:           r.gatewayBounds(o.object("bounds", false)),
@@ -154,6 +167,9 @@
 	if _, err := logrus.ParseLevel(g.LogLevel); err != nil {
 		r.addFinding(o.members["log-level"].StartOffset, "log-level is not a known level", `write "info", "warning" or "debug"`)
 	}
+	if g.Planning != PlanByDemand && g.Planning != PlanByShare {
+		r.addFinding(o.members["planning"].StartOffset, "planning is not a known way to plan", `write "demand" or "share"`)
+	}
 	o.reportUnknown()
 	return g, r.findings.Err()
 }
