--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -118,7 +118,7 @@
 		zone: zone, zones: max(len(zones), 1), brokenAfter: brokenAfter, epochBase: int64(term) * epochsPerTerm,
 		groups: make(map[registry.GroupID]*Group), sentOrders: make(map[orderKey]sentOrder), domains: make(map[registry.GroupID]string),
 		loadLimiter: newLoadLimiter(rank), seen: make(map[registry.Incarnation]bool),
-		planner: demandPlanner{mismatchSince: make(map[domainPair]time.Time)},
+		planner: demandPlanner{mismatchSince: make(map[modelDomain]time.Time)},
 	}
 	c.restore(recorded)
 	return c
--- a/internal/formation/demand.go
+++ b/internal/formation/demand.go
@@ -54,8 +54,8 @@
 	losses  lossCounter
 	repairs repairs
 	changes changes
-	// mismatchSince holds since when a domain has had the wrong spares.
-	mismatchSince map[domainPair]time.Time
+	// mismatchSince holds since when a domain has had too many spares of a model.
+	mismatchSince map[modelDomain]time.Time
 	// plan is the plan of the current step, or nil if it plans by share.
 	plan *demandPlan
 	// reported is the last report with Changed set, at reportedAt.
--- a/internal/formation/stage_demand.go
+++ b/internal/formation/stage_demand.go
@@ -12,30 +12,23 @@
 // before one of them loads those of another model.
 const restageDelay = 3 * time.Second
 
-// domainPair is a model that a domain has too many spares of, and one that it has too
-// few of.
-type domainPair struct {
-	domain string
-	modelPair
-}
-
-// stageSparesByDemand loads weights onto the spares of a domain: empty ones first, and
-// then, one at a time, those with the weights of a model of which there are too many.
+// stageSparesByDemand loads weights onto the spares of a domain: first onto empty ones,
+// and then onto those with the weights of a model of which there are too many.
 func (c *Controller) stageSparesByDemand(now time.Time, v *registry.View, domain string, servers []*registry.Server, e *routes.Engine, d *Decision) {
 	plan := c.planner.plan
 	have := make(map[string]int)
 	var empty []*registry.Server
-	holders := make(map[string]*registry.Server)
-	busy := false
+	holders := make(map[string][]*registry.Server)
+	loading := false
 	for _, srv := range servers {
 		pending, staging := c.pendingStage(srv)
 		switch {
 		case staging:
 			have[pending]++
-			busy = true
+			loading = true
 		case len(srv.Staged) > 0:
 			have[srv.Staged[0]]++
-			holders[srv.Staged[0]] = srv
+			holders[srv.Staged[0]] = append(holders[srv.Staged[0]], srv)
 		default:
 			empty = append(empty, srv)
 		}
@@ -48,25 +41,35 @@
 		}
 		have[model]++
 	}
-	pair := domainPair{domain: domain}
-	pair.to = mostLacking(plan.state.models, have, wanted)
 	for _, m := range plan.state.models {
-		if have[m.Name] > wanted[m.Name] && holders[m.Name] != nil {
-			pair.from = m.Name
+		// The spares of a model that has groups to repair are changed one at a time.
+		surplus := plan.existing[m.Name] > plan.targets[m.Name]
+		for have[m.Name] > wanted[m.Name] && len(holders[m.Name]) > 0 && c.mismatched(now, domain, m.Name) && (surplus || !loading) {
+			to := mostLacking(plan.state.models, have, wanted)
+			if to == "" || !c.stageServer(now, v, holders[m.Name][0], to, e, d) {
+				return
+			}
+			holders[m.Name] = holders[m.Name][1:]
+			have[m.Name]--
+			have[to]++
+			loading = true
+		}
+		if have[m.Name] <= wanted[m.Name] {
+			delete(c.planner.mismatchSince, modelDomain{m.Name, domain})
 		}
 	}
-	if busy || len(empty) > 0 || pair.to == "" || pair.from == "" {
-		maps.DeleteFunc(c.planner.mismatchSince, func(other domainPair, _ time.Time) bool { return other.domain == domain })
-		return
-	}
-	since, found := c.planner.mismatchSince[pair]
+}
+
+// mismatched reports whether the domain has had too many spares of the model for
+// restageDelay. It must be called in each step in which there are too many.
+func (c *Controller) mismatched(now time.Time, domain, model string) bool {
+	key := modelDomain{model, domain}
+	since, found := c.planner.mismatchSince[key]
 	if !found {
 		since = now
-		c.planner.mismatchSince[pair] = now
-	}
-	if now.Sub(since) >= restageDelay {
-		c.stageServer(now, v, holders[pair.from], pair.to, e, d)
+		c.planner.mismatchSince[key] = now
 	}
+	return now.Sub(since) >= restageDelay
 }
 
 // wantedSpares distributes n spares of a domain to the models: by the members that may
