--- a/internal/demand/book.go
+++ b/internal/demand/book.go
@@ -54,14 +54,14 @@
 }
 
 // Rates returns the sum of the reports of a zone's entries that are recent enough, and
-// forgets the others.
-func (b *Book) Rates(now time.Time, zone string) []Rate {
+// forgets the others. The report of the entry without is left out.
+func (b *Book) Rates(now time.Time, zone, without string) []Rate {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var lists [][]Rate
 	maps.DeleteFunc(b.reports, func(_ string, r report) bool { return now.Sub(r.at) > reportTTL })
-	for _, r := range b.reports {
-		if r.zone != zone {
+	for entry, r := range b.reports {
+		if r.zone != zone || entry == without {
 			continue
 		}
 		var recent []Rate
--- a/internal/demand/demand_test.go
+++ b/internal/demand/demand_test.go
@@ -88,7 +88,7 @@
 	}
 	require.Error(t, b.Set(now, "e-1", "z", make([]demand.Rate, 1000)))
 	require.NoError(t, b.Set(now, "e-1", "z", nil))
-	require.Equal(t, []demand.Rate{good}, b.Rates(now, "z"))
+	require.Equal(t, []demand.Rate{good}, b.Rates(now, "z", "e-9"))
 }
 
 // Reports are summed up by zone, and a relay's report is as old as its oldest part.
@@ -99,9 +99,9 @@
 	require.NoError(t, b.Set(now, "e-2", "z", []demand.Rate{{Model: "a", Long: 2}}))
 	require.NoError(t, b.Set(now, "e-3", "y", []demand.Rate{{Model: "a", Long: 4}}))
 	second := now.Add(time.Second)
-	require.Equal(t, []demand.Rate{{Model: "a", Long: 3, Age: 3 * time.Second}, {Model: "b", Long: 1, Age: time.Second}}, b.Rates(second, "z"))
-	require.Equal(t, []demand.Rate{{Model: "a", Long: 2, Age: 2 * time.Second}, {Model: "b", Long: 1, Age: 2 * time.Second}}, b.Rates(now.Add(2*time.Second), "z"))
-	require.Empty(t, b.Rates(now.Add(4*time.Second), "z"))
+	require.Equal(t, []demand.Rate{{Model: "a", Long: 3, Age: 3 * time.Second}, {Model: "b", Long: 1, Age: time.Second}}, b.Rates(second, "z", "e-9"))
+	require.Equal(t, []demand.Rate{{Model: "a", Long: 2, Age: 2 * time.Second}, {Model: "b", Long: 1, Age: 2 * time.Second}}, b.Rates(now.Add(2*time.Second), "z", "e-9"))
+	require.Empty(t, b.Rates(now.Add(4*time.Second), "z", "e-9"))
 }
 
 // Guards against a plan that follows each wave: it uses the mean of 30 s when the
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -24,6 +24,9 @@
 	demandSilence = 3 * time.Second
 )
 
+// relayReport is the name under which what a relay told is kept.
+const relayReport = "relay"
+
 // demands measures the work that callers' requests bring, tells it to the other entries
 // and collects what they tell.
 type demands struct {
@@ -32,6 +35,8 @@
 	// askers holds the reports of the entries that this one relays for, hubs those of
 	// the other hubs, which include the entries that they relay for.
 	askers, hubs *demand.Book
+	// relay holds what this entry's relay last told of all other entries.
+	relay *demand.Book
 
 	mu sync.Mutex
 	// heardAt is when each hub was last heard of, invalidAt when an invalid report of
@@ -43,7 +48,7 @@
 
 func newDemands(g *Gateway) *demands {
 	return &demands{
-		gateway: g, meter: demand.NewMeter(), askers: demand.NewBook(), hubs: demand.NewBook(),
+		gateway: g, meter: demand.NewMeter(), askers: demand.NewBook(), hubs: demand.NewBook(), relay: demand.NewBook(),
 		heardAt: make(map[string]time.Time), invalidAt: make(map[string]time.Time),
 	}
 }
@@ -100,7 +105,7 @@
 
 // subtree returns the rates of this entry and of those that it relays for.
 func (d *demands) subtree(now time.Time) []demand.Rate {
-	return demand.Sum(d.meter.Rates(now), d.askers.Rates(now, d.gateway.settings.Zone))
+	return demand.Sum(d.meter.Rates(now), d.askers.Rates(now, d.gateway.settings.Zone, ""))
 }
 
 // hearAsker takes the report of an entry that this one relays for.
@@ -120,6 +125,14 @@
 	}
 }
 
+// hearRelay takes the demand of the zone's other entries from a relay. It replaces that
+// of the relay before.
+func (d *demands) hearRelay(now time.Time, entry string, rates []demand.Rate) {
+	if err := d.relay.Set(now, relayReport, d.gateway.settings.Zone, rates); err != nil {
+		d.logInvalid(now, entry, err)
+	}
+}
+
 func (d *demands) logInvalid(now time.Time, entry string, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -130,24 +143,45 @@
 	event.DemandInvalid.Log(d.gateway.logger, logrus.Fields{"entry": entry, "error": err})
 }
 
-// zone returns the demand of this entry's zone. It is not known to an entry that is no
-// hub, since the other entries report to the hubs.
+// zone returns the demand of this entry's zone: a hub knows it from the other hubs, and
+// any other entry from its relay.
 func (d *demands) zone(now time.Time) formation.Demand {
-	hubs, own := d.gateway.relays.hubs()
-	if !own || d.gateway.settings.Planning == settings.PlanByShare {
+	if d.gateway.settings.Planning == settings.PlanByShare {
+		return formation.Demand{}
+	}
+	zone := d.gateway.settings.Zone
+	if _, hub := d.gateway.relays.hubs(); hub {
+		return formation.Demand{Rates: demand.Sum(d.subtree(now), d.hubs.Rates(now, zone, "")), Partial: !d.complete(now)}
+	}
+	told := d.relay.Rates(now, zone, "")
+	if len(told) == 0 {
 		return formation.Demand{}
 	}
+	return formation.Demand{Rates: demand.Sum(d.subtree(now), told)}
+}
+
+// without returns the demand of the zone without that of an entry that this one relays
+// for. It returns nothing if this entry does not know all of it.
+func (d *demands) without(now time.Time, entry string) []demand.Rate {
+	if _, hub := d.gateway.relays.hubs(); !hub || !d.complete(now) {
+		return nil
+	}
 	zone := d.gateway.settings.Zone
-	result := formation.Demand{Rates: demand.Sum(d.subtree(now), d.hubs.Rates(now, zone))}
+	return demand.Sum(d.meter.Rates(now), d.askers.Rates(now, zone, entry), d.hubs.Rates(now, zone, ""))
+}
+
+// complete reports whether all hubs of the zone were heard of lately.
+func (d *demands) complete(now time.Time) bool {
+	hubs, _ := d.gateway.relays.hubs()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, h := range hubs {
 		at, heard := d.heardAt[h.Name]
-		if h.Zone == zone && h.Name != d.gateway.settings.Name && (!heard || now.Sub(at) > demandSilence) {
-			result.Partial = true
+		if h.Zone == d.gateway.settings.Zone && h.Name != d.gateway.settings.Name && (!heard || now.Sub(at) > demandSilence) {
+			return false
 		}
 	}
-	return result
+	return true
 }
 
 // reportPlan logs a plan if it has changed, and keeps it for the metrics. A
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -359,6 +359,7 @@
 	g.isolation.tracker.Merge(time.Now(), r.Parts)
 	if withLoads {
 		g.peers.storeLoads(relayedLoads, r.Loads)
+		g.demands.hearRelay(time.Now(), r.Entry, r.Demand)
 		g.peers.apply()
 	}
 	if len(r.Roster) > 0 {
@@ -399,6 +400,7 @@
 		g.peers.storeAskerLoads(r.Entry, r.Loads)
 		g.demands.hearAsker(time.Now(), r.Entry, r.Demand)
 		reply.Loads = g.peers.loadsWithout(r.Entry)
+		reply.Demand = g.demands.without(time.Now(), r.Entry)
 	}
 	for _, t := range g.tables {
 		version, asked := r.Versions[t.name]
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -81,6 +81,9 @@
 	Loads []Load
 	Parts quarantine.Report
 	Quota quota.Message
+	// Demand is the work of the zone's other entries, if the relay knows all of it and
+	// the sender wants loads.
+	Demand []demand.Rate
 }
 
 // TableUpdate holds the rows of one table that changed after the sender's version.
--- a/internal/peer/sync_wire.go
+++ b/internal/peer/sync_wire.go
@@ -23,6 +23,7 @@
 	Crashes   []crashWire       `cbor:"21,keyasint,omitempty"`
 	Successes []successWire     `cbor:"22,keyasint,omitempty"`
 	Quota     *quotaWire        `cbor:"23,keyasint,omitempty"`
+	Demand    []rateWire        `cbor:"24,keyasint,omitempty"`
 }
 
 type tableUpdateWire struct {
@@ -64,7 +65,7 @@
 }
 
 func syncReplyToWire(r SyncReply) *syncReplyWire {
-	w := &syncReplyWire{Entry: r.Entry, Loads: loadsToWire(r.Loads), Quota: quotaToWire(r.Quota)}
+	w := &syncReplyWire{Entry: r.Entry, Loads: loadsToWire(r.Loads), Quota: quotaToWire(r.Quota), Demand: ratesToWire(r.Demand)}
 	w.Crashes, w.Successes = reportToWire(r.Parts)
 	for _, t := range r.Tables {
 		// Rounded up: a copy must not count as more recent than it is.
@@ -83,6 +84,7 @@
 func syncReplyFromWire(w syncReplyWire) *SyncReply {
 	r := &SyncReply{
 		Entry: w.Entry, Loads: loadsFromWire(w.Loads), Parts: reportFromWire(w.Crashes, w.Successes), Quota: quotaFromWire(w.Quota),
+		Demand: ratesFromWire(w.Demand),
 	}
 	for _, t := range w.Tables {
 		u := TableUpdate{Table: t.Table, Version: t.Version, Full: t.Full, Age: time.Duration(t.AgeMS) * time.Millisecond}
