--- a/internal/formation/stage_demand.go
+++ b/internal/formation/stage_demand.go
@@ -131,6 +131,9 @@
 // restaging reports whether a server is loading the weights of another model, which
 // replace those that it has.
 func (c *Controller) restaging(srv *registry.Server, model string) bool {
+	if joinCost(srv, model) >= coldJoinCost {
+		return false
+	}
 	pending, staging := c.pendingStage(srv)
 	return staging && pending != model
 }
--- a/internal/gateway/control_loop.go
+++ b/internal/gateway/control_loop.go
@@ -81,6 +81,8 @@
 	// recordsRejected is set if the store rejected the last write, which had group
 	// records.
 	recordsRejected bool
+	// demandSeen is set once the zone has had any demand.
+	demandSeen bool
 }
 
 // orderOutcome is the outcome of an order that a controller issued.
@@ -170,7 +172,8 @@
 	zone := cl.gateway.demands.zone(time.Now())
 	cl.controller.SetDemand(now, zone)
 	// Demand means that another entry has received a request.
-	cl.controller.SetBootstrapping(cl.gateway.settings.FirstStart && cl.gateway.metrics.requests.Value() == 0 && len(zone.Rates) == 0)
+	cl.demandSeen = cl.demandSeen || len(zone.Rates) > 0
+	cl.controller.SetBootstrapping(cl.gateway.settings.FirstStart && cl.gateway.metrics.requests.Value() == 0 && !cl.demandSeen)
 	d := cl.controller.Step(now, v, service, engine, cl.prober.result)
 	cl.logPhaseChanges(d.PhaseChanges)
 	cl.gateway.demands.reportPlan(d.Plan)
