--- a/internal/formation/demand.go
+++ b/internal/formation/demand.go
@@ -104,7 +104,7 @@
 	if c.bootstrapping || len(e.Models) < 2 || !e.Timed() || !p.history.Known(now) {
 		return nil
 	}
-	s := c.newZoneState(v, service, e, probe)
+	s := c.newZoneState(now, v, service, e, probe)
 	plan := &demandPlan{state: s, needed: make(map[string]float64), existing: existing}
 	for _, m := range e.Models {
 		plan.needed[m.Name] = p.history.Planned(m.Name) / utilisation
--- a/internal/formation/losses.go
+++ b/internal/formation/losses.go
@@ -18,33 +18,57 @@
 	repairTTL = 30 * time.Second
 )
 
+// returnTime is how long a server without a record may come back. The record also goes
+// when only the store or the way to it is lost.
+const returnTime = 12 * time.Second
+
 // lossCounter counts the servers of a zone that were lost.
 type lossCounter struct {
-	known map[registry.Incarnation]bool
-	// lost holds when each incarnation was lost.
-	lost map[registry.Incarnation]time.Time
+	// known holds the domains of the servers.
+	known map[registry.Incarnation]string
+	lost  map[registry.Incarnation]loss
+}
+
+type loss struct {
+	at     time.Time
+	domain string
+	// mayReturn is set if the server did not announce that it leaves, and no other
+	// one has replaced it.
+	mayReturn bool
 }
 
 // observe compares the zone's servers with those of the last step. An incarnation
 // whose record comes back was not lost.
 func (l *lossCounter) observe(now time.Time, v *registry.View, zone, service string) {
-	current := make(map[registry.Incarnation]bool, len(l.known))
+	current := make(map[registry.Incarnation]string, len(l.known))
 	for _, srv := range v.Servers {
 		if srv.Zone == zone && srv.Service == service && !srv.Leaving {
-			current[srv.Incarnation()] = true
+			current[srv.Incarnation()] = srv.Domain
 			delete(l.lost, srv.Incarnation())
 		}
 	}
 	if l.lost == nil {
-		l.lost = make(map[registry.Incarnation]time.Time)
+		l.lost = make(map[registry.Incarnation]loss)
 	}
-	for inc := range l.known {
-		if !current[inc] {
-			l.lost[inc] = now
+	for inc, domain := range l.known {
+		if _, found := current[inc]; !found {
+			l.lost[inc] = loss{at: now, domain: domain, mayReturn: v.Servers[inc.ID] == nil}
 		}
 	}
 	l.known = current
-	maps.DeleteFunc(l.lost, func(_ registry.Incarnation, at time.Time) bool { return now.Sub(at) > lossSpan })
+	maps.DeleteFunc(l.lost, func(_ registry.Incarnation, lost loss) bool { return now.Sub(lost.at) > lossSpan })
+}
+
+// returning counts the servers that may come back, by domain. The targets of a plan
+// must not change while they are away.
+func (l *lossCounter) returning(now time.Time) map[string]int {
+	count := make(map[string]int)
+	for _, lost := range l.lost {
+		if lost.mayReturn && now.Sub(lost.at) < returnTime {
+			count[lost.domain]++
+		}
+	}
+	return count
 }
 
 // expected returns the number of losses to expect within repairTime.
--- a/internal/formation/targets.go
+++ b/internal/formation/targets.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math"
 	"slices"
+	"time"
 
 	"github.com/hibiscuspulley/hibiscuspulley/internal/registry"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/routes"
@@ -17,9 +18,9 @@
 // zoneState is the number of servers that groups can be formed of.
 type zoneState struct {
 	models []routes.Model
-	// alive holds the living servers of each domain, and free those of them that are
-	// in no group that serves or is being formed. Servers of groups that end are
-	// free, although they can join only later.
+	// alive holds the living servers of each domain, with those that may come back,
+	// and free the living ones that are in no group that serves or is being formed.
+	// Servers of groups that end are free, although they can join only later.
 	alive, free map[string]int
 	domains     []string
 	// spares is the number of servers of the zone to keep out of groups, and
@@ -27,7 +28,7 @@
 	spares, domainSpares int
 }
 
-func (c *Controller) newZoneState(v *registry.View, service string, e *routes.Engine, probe func(string) ProbeResult) *zoneState {
+func (c *Controller) newZoneState(now time.Time, v *registry.View, service string, e *routes.Engine, probe func(string) ProbeResult) *zoneState {
 	s := &zoneState{models: largestGroupsFirst(e.Models), alive: make(map[string]int), free: make(map[string]int)}
 	grouped := make(map[registry.Incarnation]bool)
 	used := make(map[string]bool)
@@ -51,6 +52,9 @@
 			s.free[srv.Domain]++
 		}
 	}
+	for domain, n := range c.planner.losses.returning(now) {
+		s.alive[domain] += n
+	}
 	s.domains = slices.Sorted(maps.Keys(s.alive))
 	most := int(spareFraction * float64(total))
 	s.spares = min(max(c.planner.losses.expected(), minDomainSpares*len(used)), most)
