Make two tests of planning by demand fail without what they guard

The wave's low demand of one model now falls below what its groups but one can take, and the missing records take away the room of a target's last group.

--- a/internal/formation/demand_test.go
+++ b/internal/formation/demand_test.go
@@ -82,9 +82,9 @@
 	wave := func(after time.Duration) map[string]float64 {
 		high := int(after/(13*time.Second/2))%2 == 0
 		if high {
-			return map[string]float64{"m0": 2.4, "m1": 3}
+			return map[string]float64{"m0": 2.1, "m1": 6.7}
 		}
-		return map[string]float64{"m0": 0.8, "m1": 9}
+		return map[string]float64{"m0": 0.7, "m1": 20}
 	}
 	z := newZoneLoad(3, 18, bigEngine(0.6, 8, 2), wave)
 	z.play(2 * time.Minute)
@@ -96,7 +96,7 @@
 // servers: a tenth of the records are away for some seconds. The spares must not load
 // other weights meanwhile.
 func TestMissingRecordsChangeNoTargets(t *testing.T) {
-	z := newZoneLoad(2, 37, bigEngine(0.53, 16, 4), mostlyM1(1.1))
+	z := newZoneLoad(2, 37, bigEngine(0.53, 16, 4), mostlyM1(1.2))
 	z.play(40 * time.Second)
 	targets := z.plan.Models[0].Target
 	for i, id := range z.hostIDs() {
