--- a/internal/gateway/control_loop.go
+++ b/internal/gateway/control_loop.go
@@ -81,6 +81,8 @@
 	// recordsRejected is set if the store rejected the last write, which had group
 	// records.
 	recordsRejected bool
+	// demandSeen is set once the zone has had any demand.
+	demandSeen bool
 }
 
 // orderOutcome is the outcome of an order that a controller issued.
@@ -167,9 +169,14 @@
 		return
 	}
 	v := cl.gateway.registry.View()
-	cl.controller.SetBootstrapping(cl.gateway.settings.FirstStart && cl.gateway.metrics.requests.Value() == 0)
+	zone := cl.gateway.demands.zone(time.Now())
+	cl.controller.SetDemand(now, zone)
+	// Demand means that another entry has received a request.
+	cl.demandSeen = cl.demandSeen || len(zone.Rates) > 0
+	cl.controller.SetBootstrapping(cl.gateway.settings.FirstStart && cl.gateway.metrics.requests.Value() == 0 && !cl.demandSeen)
 	d := cl.controller.Step(now, v, service, engine, cl.prober.result)
 	cl.logPhaseChanges(d.PhaseChanges)
+	cl.gateway.demands.reportPlan(d.Plan)
 	cl.prober.probe(ctx, v, append(d.ServersToProbe, cl.stalledMembers(v)...))
 	if !cl.renewIfDue(ctx, now, d.NewGroups, d.ObsoleteRecords) {
 		return
@@ -186,7 +193,10 @@
 // engine has models. The engine is nil if there is none or no configuration has
 // been received.
 func (cl *controlLoop) service() (string, *routes.Engine) {
-	table := cl.gateway.configCache.table.Load()
+	return modelService(cl.gateway.configCache.table.Load())
+}
+
+func modelService(table *routes.Table) (string, *routes.Engine) {
 	if table == nil {
 		return "", nil
 	}
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -263,6 +263,7 @@
 		request.Quota = rs.quotaMessage(time.Now(), l, active)
 		if active {
 			request.WantLoads, request.Loads = true, g.peers.subtreeLoads("")
+			request.Demand = g.demands.subtree(time.Now())
 		}
 	}
 	if active && sentAt.Sub(l.sessionsAt) >= sessionsInterval {
@@ -358,6 +359,7 @@
 	g.isolation.tracker.Merge(time.Now(), r.Parts)
 	if withLoads {
 		g.peers.storeLoads(relayedLoads, r.Loads)
+		g.demands.hearRelay(time.Now(), r.Entry, r.Demand)
 		g.peers.apply()
 	}
 	if len(r.Roster) > 0 {
@@ -396,7 +398,9 @@
 	reply.Quota = g.limits.respond(time.Now(), r.Entry, g.settings.Zone, r.Quota)
 	if r.WantLoads {
 		g.peers.storeAskerLoads(r.Entry, r.Loads)
+		g.demands.hearAsker(time.Now(), r.Entry, r.Demand)
 		reply.Loads = g.peers.loadsWithout(r.Entry)
+		reply.Demand = g.demands.without(time.Now(), r.Entry)
 	}
 	for _, t := range g.tables {
 		version, asked := r.Versions[t.name]
--- a/internal/peer/sync_wire.go
+++ b/internal/peer/sync_wire.go
@@ -12,6 +12,7 @@
 	Crashes   []crashWire      `cbor:"21,keyasint,omitempty"`
 	Successes []successWire    `cbor:"22,keyasint,omitempty"`
 	Quota     *quotaWire       `cbor:"23,keyasint,omitempty"`
+	Demand    []rateWire       `cbor:"24,keyasint,omitempty"`
 }
 
 type syncReplyWire struct {
@@ -22,6 +23,7 @@
 	Crashes   []crashWire       `cbor:"21,keyasint,omitempty"`
 	Successes []successWire     `cbor:"22,keyasint,omitempty"`
 	Quota     *quotaWire        `cbor:"23,keyasint,omitempty"`
+	Demand    []rateWire        `cbor:"24,keyasint,omitempty"`
 }
 
 type tableUpdateWire struct {
@@ -49,7 +51,7 @@
 func syncToWire(s Sync) *syncWire {
 	w := &syncWire{
 		Entry: s.Entry, Sessions: s.Sessions, WantLoads: s.WantLoads, Versions: s.Versions, Roster: s.Roster, Loads: loadsToWire(s.Loads),
-		Quota: quotaToWire(s.Quota),
+		Quota: quotaToWire(s.Quota), Demand: ratesToWire(s.Demand),
 	}
 	w.Crashes, w.Successes = reportToWire(s.Parts)
 	return w
@@ -58,12 +60,12 @@
 func syncFromWire(w syncWire) *Sync {
 	return &Sync{
 		Entry: w.Entry, Sessions: w.Sessions, WantLoads: w.WantLoads, Versions: w.Versions, Roster: w.Roster, Loads: loadsFromWire(w.Loads),
-		Parts: reportFromWire(w.Crashes, w.Successes), Quota: quotaFromWire(w.Quota),
+		Parts: reportFromWire(w.Crashes, w.Successes), Quota: quotaFromWire(w.Quota), Demand: ratesFromWire(w.Demand),
 	}
 }
 
 func syncReplyToWire(r SyncReply) *syncReplyWire {
-	w := &syncReplyWire{Entry: r.Entry, Loads: loadsToWire(r.Loads), Quota: quotaToWire(r.Quota)}
+	w := &syncReplyWire{Entry: r.Entry, Loads: loadsToWire(r.Loads), Quota: quotaToWire(r.Quota), Demand: ratesToWire(r.Demand)}
 	w.Crashes, w.Successes = reportToWire(r.Parts)
 	for _, t := range r.Tables {
 		// Rounded up: a copy must not count as more recent than it is.
@@ -82,6 +84,7 @@
 func syncReplyFromWire(w syncReplyWire) *SyncReply {
 	r := &SyncReply{
 		Entry: w.Entry, Loads: loadsFromWire(w.Loads), Parts: reportFromWire(w.Crashes, w.Successes), Quota: quotaFromWire(w.Quota),
+		Demand: ratesFromWire(w.Demand),
 	}
 	for _, t := range w.Tables {
 		u := TableUpdate{Table: t.Table, Version: t.Version, Full: t.Full, Age: time.Duration(t.AgeMS) * time.Millisecond}
