Add the setting bounds.drain of a gateway

It is the time after which a server whose record went may get no more requests. 0, the default, keeps today's behaviour: such servers get none at once.

--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -58,6 +58,10 @@
 	// BrokenAfter is how long a replica group that has lost a member is stalled
 	// before its leader changes to the state "broken".
 	BrokenAfter time.Duration
+	// Drain is how long after its record went a server may get requests, if it still
+	// gives signs of life. 0 means that it gets none, and that a missing record closes
+	// the server's replica group.
+	Drain time.Duration
 	// RetrySpan is the time window of a service's retry budget. Within it, the
 	// service may have RetryRatio retries per request plus RetrySlack retries.
 	RetrySpan  time.Duration
@@ -163,6 +167,7 @@
 		Revocation:  o.duration("revocation", defaultRevocation),
 		Grace:       o.duration("grace", defaultGrace),
 		BrokenAfter: o.duration("broken", defaultBrokenAfter),
+		Drain:       o.durationOrZero("drain"),
 		RetrySpan:   o.duration("repeat-span", defaultRetrySpan),
 		RetryRatio:  o.number("repeat-ratio", defaultRetryRatio),
 		RetrySlack:  o.number("repeat-slack", defaultRetrySlack),
--- a/internal/settings/object.go
+++ b/internal/settings/object.go
@@ -171,6 +171,20 @@
 	return d
 }
 
+// durationOrZero returns a duration that may be 0, which is also its default.
+func (o *object) durationOrZero(name string) time.Duration {
+	value, found := o.lookup(name, false)
+	if !found {
+		return 0
+	}
+	d, err := time.ParseDuration(literal(value).String())
+	if err != nil || d < 0 {
+		o.reader.addFinding(value.StartOffset, o.fullName(name)+" is not a duration", `write it as "2s" or "500ms", or "0s"`)
+		return 0
+	}
+	return d
+}
+
 // object returns a member that is itself an object. If it is absent, object returns
 // an object without members.
 func (o *object) object(name string, required bool) *object {
