Keep when a server record was first known to be gone

After an outage of the store the registry holds records for 2 s, so the time at which it removes a server is later than the time at which it learnt of the loss. The new GoneSince counts from the latter.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -17,6 +17,10 @@
 	RemovedAt map[string]time.Time
 	// Removed holds the last record of each server in RemovedAt.
 	Removed map[string]*Server
+	// GoneSince holds the time at which this process learnt that a server has no
+	// record, by ID. It also lists the servers that stay in Servers for the grace
+	// period after a store outage. Entries are kept as long as those of RemovedAt.
+	GoneSince map[string]time.Time
 	// Version is the store version that the view includes.
 	Version int64
 	// AsOf is a time just before the store read behind this view. The view is at
@@ -85,7 +89,10 @@
 // the dropped one whenever a record is ignored because it is older.
 func New(onStale func(current, dropped *Server)) *Registry {
 	r := &Registry{onStale: onStale, leaving: make(map[Incarnation]time.Time)}
-	r.view.Store(&View{Servers: map[string]*Server{}, RemovedAt: map[string]time.Time{}, Removed: map[string]*Server{}})
+	r.view.Store(&View{
+		Servers: map[string]*Server{}, RemovedAt: map[string]time.Time{}, Removed: map[string]*Server{},
+		GoneSince: map[string]time.Time{},
+	})
 	return r
 }
 
@@ -107,6 +114,7 @@
 		Servers:   make(map[string]*Server, len(old.Servers)),
 		RemovedAt: make(map[string]time.Time, len(old.RemovedAt)),
 		Removed:   make(map[string]*Server, len(old.Removed)),
+		GoneSince: maps.Clone(old.GoneSince),
 		Version:   version, AsOf: asOf,
 		graceUntil: old.graceUntil, pendingRemoval: maps.Clone(old.pendingRemoval),
 	}
@@ -139,6 +147,9 @@
 		}
 		next.pendingRemoval = nil
 	}
+	maps.DeleteFunc(next.GoneSince, func(id string, _ time.Time) bool {
+		return next.Servers[id] == nil && next.Removed[id] == nil
+	})
 	maps.DeleteFunc(r.leaving, func(inc Incarnation, at time.Time) bool {
 		return now.Sub(at) > removedRetention && !next.runs(inc)
 	})
@@ -156,6 +167,9 @@
 	if next.runs(inc) {
 		next.Servers = maps.Clone(next.Servers)
 		next.Servers[inc.ID] = r.withStatements(next.Servers[inc.ID])
+	} else if s := next.Removed[inc.ID]; s != nil && s.StartTime == inc.StartTime {
+		next.Removed = maps.Clone(next.Removed)
+		next.Removed[inc.ID] = r.withStatements(s)
 	}
 	r.view.Store(&next)
 	return &next
@@ -192,6 +206,7 @@
 	}
 	delete(v.RemovedAt, c.ID)
 	delete(v.Removed, c.ID)
+	delete(v.GoneSince, c.ID)
 	delete(v.pendingRemoval, c.ID)
 	v.Servers[c.ID] = r.withStatements(c.Server)
 }
@@ -219,6 +234,7 @@
 		v.pendingRemoval = make(map[string]bool)
 	}
 	v.pendingRemoval[id] = true
+	v.markGone(id, now)
 }
 
 // remove moves a server from Servers to RemovedAt and Removed. It has no effect
@@ -230,4 +246,12 @@
 	}
 	delete(v.Servers, id)
 	v.RemovedAt[id], v.Removed[id] = now, current
+	v.markGone(id, now)
+}
+
+// markGone sets the server's entry in GoneSince if it has none.
+func (v *View) markGone(id string, now time.Time) {
+	if _, known := v.GoneSince[id]; !known {
+		v.GoneSince[id] = now
+	}
 }
