Let leaders whose record went be chosen for a part of the drain time

A leader that loses only its connection to the store got no request from the moment its record expired.

--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -64,6 +64,10 @@
 	loads   map[registry.Incarnation]*load
 	// grants holds what this entry may send to servers that name a request limit.
 	grants *quota.Holder
+	// drain is the drain time (WithDrainTime). unrecorded lists the leaders of open
+	// groups that the view has no record of any more.
+	drain      time.Duration
+	unrecorded []*registry.Server
 }
 
 // Option configures a Balancer.
@@ -94,9 +98,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.view = v
+	if b.drain > 0 {
+		b.unrecorded = listUnrecorded(v)
+	}
 	for inc, load := range b.loads {
 		s := v.Servers[inc.ID]
-		if (s == nil || s.StartTime != inc.StartTime) && load.inFlight == 0 {
+		if (s == nil || s.StartTime != inc.StartTime) && load.inFlight == 0 && (b.drain <= 0 || !b.holdsRecordOf(inc)) {
 			delete(b.loads, inc)
 		}
 	}
@@ -124,6 +131,9 @@
 	// Stalled is set if one of these entries lists the server in its
 	// Balancer.Stalled. InFlight may then be 0.
 	Stalled bool
+	// AliveAt is when an entry last reported that streams from the server advance, or
+	// that it answers probes. It is zero if none did.
+	AliveAt time.Time
 }
 
 // SetPeerLoads replaces the load that the other entries reported. Servers that
@@ -138,6 +148,9 @@
 	}
 	for inc, load := range b.loads {
 		load.peerInFlight, load.peerStalled = counts[inc].InFlight, counts[inc].Stalled
+		if at := counts[inc].AliveAt; at.After(load.peerAliveAt) {
+			load.peerAliveAt = at
+		}
 	}
 }
 
@@ -187,7 +200,7 @@
 	if !b.hasLocalServer(now, service, r) {
 		r.remoteShare = maxRemoteShareNoLocal
 	}
-	for _, s := range b.view.Servers {
+	for s := range b.candidates(now) {
 		if s.Service != r.Service {
 			continue
 		}
@@ -217,7 +230,7 @@
 	if b.excluded[b.zone] {
 		return false
 	}
-	for _, s := range b.view.Servers {
+	for s := range b.candidates(now) {
 		if s.Zone == b.zone && s.Service == r.Service && !s.Leaving && (service.Engine == nil || s.LeadsOpenGroup(r.Model)) &&
 			!now.Before(b.grants.WaitUntil(now, s.Incarnation())) && b.grants.Allows(now, s.Incarnation()) {
 			return true
--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -37,7 +37,7 @@
 		return capacity
 	}
 	service := b.table.Service(r.Service)
-	for _, s := range b.view.Servers {
+	for s := range b.candidates(now) {
 		if service == nil || s.Service != r.Service || s.Leaving || b.excluded[s.Zone] {
 			continue
 		}
--- a/internal/dispatch/limited.go
+++ b/internal/dispatch/limited.go
@@ -60,7 +60,7 @@
 	}
 	r.remoteShare = maxRemoteShare
 	best, limited := math.Inf(1), math.Inf(1)
-	for _, s := range b.view.Servers {
+	for s := range b.candidates(now) {
 		if s.Service != r.Service {
 			continue
 		}
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -39,6 +39,9 @@
 	lastProgress time.Time
 	// provenAt is when the server last made progress on a request of this entry.
 	provenAt time.Time
+	// aliveAt is when the server last answered a probe of this entry, and peerAliveAt
+	// when another entry last reported that it has seen a sign of life.
+	aliveAt, peerAliveAt time.Time
 	// trips counts the circuit breaker's trips since the last progress. While
 	// it is above 0, the server gets one request at a time, after openUntil.
 	trips     int
--- a/internal/dispatch/waits.go
+++ b/internal/dispatch/waits.go
@@ -28,7 +28,7 @@
 		return 0
 	}
 	shortest := time.Duration(0)
-	for _, s := range b.view.Servers {
+	for s := range b.candidates(now) {
 		if s.Service != r.Service || s.Leaving || b.excluded[s.Zone] || (service.Engine != nil && !s.LeadsOpenGroup(r.Model)) {
 			continue
 		}
