Keep groups whose members lost their records but answer

A missing record closed or ended a group as soon as one probe had a result. With a drain time the group goes on for 12 s while the member answers and the streams of its leader are not stalled. Members that fail their probes for 0.5 s end it as before. A group that closes for missing records alone opens again if all members are back and ready, and such closures are limited to half of a model's groups in 2 s.

Evidence: TestPatternATenthOfTheServersLosesTheStore, 74 servers, 7 of them without the store for 5 s, 2 groups of 16 and 6 of 4. Fewest groups that take requests: 0 and 4 without a drain time, 2 and 6 with 3 s, also when the controller is replaced meanwhile.

--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -54,6 +54,9 @@
 	// Answered reports that the last probe was answered, or that a peer's requests
 	// make progress on the server.
 	Answered bool
+	// Stalled reports that requests of an entry at the server make no progress, and
+	// those of no other entry do.
+	Stalled bool
 }
 
 // Controller decides about the groups of one zone. It is not safe for
@@ -86,6 +89,10 @@
 	seen        map[registry.Incarnation]bool
 	firstSeenAt time.Time
 	lastSeenAt  time.Time
+	// drain is the drain time (SetDrainTime). closures lists the latest groups that
+	// ended for missing records alone.
+	drain    time.Duration
+	closures []closure
 }
 
 type orderKey struct {
@@ -157,6 +164,9 @@
 	PhaseChanges []PhaseChange
 	// ServersToProbe lists the servers to probe.
 	ServersToProbe []string
+	// Kept lists the groups that go on although more members have no record since the
+	// previous step.
+	Kept []KeptGroup
 }
 
 // PhaseChange describes the change of a group to another phase.
--- a/internal/formation/group.go
+++ b/internal/formation/group.go
@@ -60,6 +60,10 @@
 	// missingSince is when a member was first seen without a record. It is zero
 	// while all members have one.
 	missingSince time.Time
+	// absence describes the members without a record while such groups are kept.
+	absence absence
+	// leaveOrdered is set once a member was ordered to leave.
+	leaveOrdered bool
 	// unrecorded is set if the store has no record of the group.
 	unrecorded bool
 	// Reason is why the group last changed its phase, for example why it ends.
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -35,7 +35,7 @@
 		}
 		budget.take(g)
 	}
-	c.stageWeights(now, v, free, c.survivors(v, probe), missingGroups(targets, existing), e, d)
+	c.stageWeights(now, v, free, c.survivors(v, probe), c.withDepartures(missingGroups(targets, existing)), e, d)
 }
 
 // modelDomain identifies the servers of a fabric domain that hold a model's weights.
@@ -47,7 +47,7 @@
 func (c *Controller) survivors(v *registry.View, probe func(string) ProbeResult) map[modelDomain][]*registry.Server {
 	list := make(map[modelDomain][]*registry.Server)
 	for _, g := range c.Groups() {
-		if g.Phase != Draining && g.Phase != Ending {
+		if !c.endsSoon(g) {
 			continue
 		}
 		for _, m := range g.Members {
--- a/internal/formation/reconcile.go
+++ b/internal/formation/reconcile.go
@@ -16,6 +16,7 @@
 			g.openSeen = g.openSeen || (!g.closeOrdered && m == g.leader() && srv.Member.State == registry.Open)
 		}
 	}
+	c.observeAbsence(g, now, v, probe, d)
 	switch g.Phase {
 	case Planned, Ended:
 	case Forming:
@@ -32,11 +33,14 @@
 	reason string
 	// graceful causes leave time for in-flight requests to finish.
 	graceful bool
+	// missing causes are that a member has no record but may run. recordsOnly ones
+	// have no other evidence against the member.
+	missing, recordsOnly bool
 }
 
 // findEndCause returns the reason why the group must end, or nil. It adds a member
 // without a record to the servers to probe.
-func findEndCause(g *Group, now time.Time, v *registry.View, probe func(string) ProbeResult, d *Decision) *endCause {
+func (c *Controller) findEndCause(g *Group, now time.Time, v *registry.View, probe func(string) ProbeResult, d *Decision) *endCause {
 	var found *endCause
 	missing := false
 	defer func() {
@@ -49,6 +53,13 @@
 		status := statusOf(g, m, srv)
 		p := probe(m.ID)
 		switch {
+		case status == memberMissing && c.keepsGroups() && g.mayOpen:
+			d.ServersToProbe = append(d.ServersToProbe, m.ID)
+			if cause := c.absenceCause(g, m, v, p, now); cause != nil && !cause.graceful {
+				return cause
+			} else if cause != nil {
+				found = cause
+			}
 		case status == memberMissing && g.mayReregister(m, now, v):
 		case status == memberMissing:
 			missing = true
@@ -98,7 +109,7 @@
 }
 
 func (c *Controller) reconcileForming(g *Group, now time.Time, v *registry.View, e *routes.Engine, probe func(string) ProbeResult, d *Decision) {
-	cause := findEndCause(g, now, v, probe, d)
+	cause := c.findEndCause(g, now, v, probe, d)
 	if cause == nil && now.Sub(g.Since) > formingTimeout {
 		cause = &endCause{reason: "its members did not become ready in time"}
 	}
@@ -110,7 +121,12 @@
 	}
 	switch {
 	case cause != nil && g.mayOpen:
-		c.transition(g, Ending, now, cause.reason, d)
+		next := Ending
+		if cause.missing && cause.graceful && g.openSeen {
+			next = Draining
+		}
+		c.noteClosure(g, cause, now)
+		c.transition(g, next, now, cause.reason, d)
 		c.reconcileEnding(g, now, v, probe, d)
 		return
 	case cause != nil:
@@ -165,7 +181,7 @@
 }
 
 func (c *Controller) reconcileServing(g *Group, now time.Time, v *registry.View, e *routes.Engine, probe func(string) ProbeResult, d *Decision) {
-	cause := findEndCause(g, now, v, probe, d)
+	cause := c.findEndCause(g, now, v, probe, d)
 	leader := v.Servers[g.leader().ID]
 	if model, found := e.Model(g.Model); cause == nil && found && len(g.Members) != model.GroupSize {
 		cause = &endCause{reason: "its member count differs from the model's group size"}
@@ -180,9 +196,11 @@
 			c.orderOpen(g, now, d)
 		}
 	case cause.graceful:
+		c.noteClosure(g, cause, now)
 		c.transition(g, Draining, now, cause.reason, d)
 		c.reconcileEnding(g, now, v, probe, d)
 	default:
+		c.noteClosure(g, cause, now)
 		c.transition(g, Ending, now, cause.reason, d)
 		c.reconcileEnding(g, now, v, probe, d)
 	}
@@ -218,8 +236,12 @@
 }
 
 func (c *Controller) stopLeader(g *Group, now time.Time, leader *registry.Server, v *registry.View, probe func(string) ProbeResult, d *Decision) {
+	if c.canReopen(g, now, v, probe) {
+		c.reopen(g, now, d)
+		return
+	}
 	if g.Phase == Draining {
-		if cause := findEndCause(g, now, v, probe, d); cause != nil && !cause.graceful {
+		if cause := c.findEndCause(g, now, v, probe, d); cause != nil && !cause.graceful {
 			c.transition(g, Ending, now, cause.reason, d)
 		} else if leader.Member.State == registry.Ready || now.Sub(g.Since) > drainTimeout {
 			c.transition(g, Ending, now, "its requests finished or the drain timed out", d)
@@ -229,6 +251,7 @@
 			return
 		}
 	}
+	g.leaveOrdered = true
 	c.issueOrder(now, g.leader(), Order{Operation: Leave, Group: g.ID}, d)
 	if unresponsive(probe(g.leader().ID), now) {
 		c.orderMembersToLeave(g, now, v, d)
@@ -247,6 +270,7 @@
 	for _, m := range g.Members[1:] {
 		switch statusOf(g, m, v.Servers[m.ID]) {
 		case memberInGroup:
+			g.leaveOrdered = true
 			c.issueOrder(now, m, Order{Operation: Leave, Group: g.ID}, d)
 		case memberOutside, memberRestarted:
 			g.markIncomplete(now)
--- a/internal/formation/simulation_test.go
+++ b/internal/formation/simulation_test.go
@@ -54,6 +54,8 @@
 	delayed       []delayedOrder
 	failingSince  map[string]time.Time
 	storeWritable bool
+	// drain is the drain time of new controllers.
+	drain time.Duration
 	// leaderJoins counts the join orders to each group's leader.
 	leaderJoins map[registry.GroupID]int
 	// trace lists the events so far, for the failure message.
@@ -107,6 +109,7 @@
 		recorded = append(recorded, g)
 	}
 	w.controller = formation.NewController(zone, []string{zone}, w.term, brokenAfter, recorded)
+	w.controller.SetDrainTime(w.drain)
 }
 
 func sortedIDs(records map[registry.GroupID][]byte) []registry.GroupID {
