Wire the use of servers without records into the gateway

The prober takes streams that advance as an answer, rejects answers of another incarnation, and reports stalled leaders. Probes that a leader without a record answered are told to the other entries as progress. Events 423 to 425 and the counters groups-kept-without-record and sends-without-record show what happens.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -59,6 +59,9 @@
 	LimitsAllocated          = Event{417, logrus.InfoLevel, "entry that allocates the request limits of the zone's servers changed"}
 	ServerLeaving            = Event{418, logrus.InfoLevel, "backend server says that it leaves: it gets no new requests"}
 	ServerWaits              = Event{419, logrus.InfoLevel, "backend server has asked for time: it gets no requests meanwhile"}
+	UnrecordedServerUsed     = Event{423, logrus.InfoLevel, "requests go on to a backend server whose record is gone"}
+	GroupKept                = Event{424, logrus.InfoLevel, "replica group goes on although members have no server record"}
+	RecordsLost              = Event{425, logrus.WarnLevel, "many server records went at one moment: the servers have probably lost the store"}
 	AttemptBroken            = Event{504, logrus.WarnLevel, "attempt of a streamed response broke off; its server was probed"}
 	PartQuarantined          = Event{505, logrus.WarnLevel, "prompt part in quarantine: requests with it are rejected"}
 	PartReleased             = Event{506, logrus.InfoLevel, "prompt part released from quarantine"}
@@ -81,6 +84,6 @@
 		ConfigApplied, ConfigRejected, ConfigFromPeer, ConfigSnapshot, SnapshotFailed,
 		ProvisionalOrderAccepted, ProvisionalOrderRecorded,
 		LogLinesDropped, SettingsReloaded, SettingsRejected, ServerRecordChanged, ServerRecordStale, ControllerLeaseAcquired, ControllerLeaseLost, CallRejected,
-		OrderSent, GroupPhaseChanged, ServerUnresponsive, ServerResponsive, LimitChanged, LimitInvalid, LimitsAllocated, ServerLeaving, ServerWaits, RequestServed, EvacuatedZonesChanged,
+		OrderSent, GroupPhaseChanged, ServerUnresponsive, ServerResponsive, LimitChanged, LimitInvalid, LimitsAllocated, ServerLeaving, ServerWaits, UnrecordedServerUsed, GroupKept, RecordsLost, RequestServed, EvacuatedZonesChanged,
 	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -146,6 +146,7 @@
 		g.metrics.limitedSends.Add(1)
 		c.addNote(res.Server.ID + " limit " + strconv.FormatFloat(limit, 'g', 4, 64) + "/s")
 	}
+	g.recordUnrecordedSend(c, res.Server)
 	x, failure := g.pool.Do(ctx, g.backendServer(res.Server), &request, matches, newConn)
 	if failure != nil {
 		return nil, failure
@@ -206,13 +207,13 @@
 // It counts the incarnations in c.startedOn that are still in the registry. If
 // startedHere is set, it also counts the server of the current attempt.
 func (g *Gateway) attemptsLeft(c *call, startedHere bool) bool {
-	servers := g.registry.View().Servers
+	v := g.registry.View()
 	n := 0
 	if startedHere {
 		n++
 	}
 	for _, inc := range c.startedOn {
-		if s := servers[inc.ID]; s != nil && s.StartTime == inc.StartTime {
+		if g.runs(v, inc) {
 			n++
 		}
 	}
--- a/internal/gateway/control_loop.go
+++ b/internal/gateway/control_loop.go
@@ -168,8 +168,10 @@
 	}
 	v := cl.gateway.registry.View()
 	cl.controller.SetBootstrapping(cl.gateway.settings.FirstStart && cl.gateway.metrics.requests.Value() == 0)
+	cl.prober.observeStreams(time.Now())
 	d := cl.controller.Step(now, v, service, engine, cl.prober.result)
 	cl.logPhaseChanges(d.PhaseChanges)
+	cl.logKept(d.Kept, v)
 	cl.prober.probe(ctx, v, append(d.ServersToProbe, cl.stalledMembers(v)...))
 	if !cl.renewIfDue(ctx, now, d.NewGroups, d.ObsoleteRecords) {
 		return
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -114,6 +114,7 @@
 		cd.gateway.metrics.crashes.Add(1)
 	case err == nil:
 		p.verdict = serverRunning
+		cd.gateway.observeReport(server.Incarnation(), current)
 		if current.Leaving && !server.Leaving {
 			cd.gateway.limits.observeLeaving(time.Now(), current.Incarnation())
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,6 +78,7 @@
 	Revocation  time.Duration
 	Grace       time.Duration
 	BrokenAfter time.Duration
+	Drain       time.Duration
 	// Retries is the configured limit with its ratio and slack multiplied by
 	// retryFactor.
 	Retries retry.Limit
@@ -131,6 +132,9 @@
 
 	mu      sync.Mutex
 	budgets map[string]*retry.SlidingWindow
+	// unrecordedLogged holds, by server, since when the record was gone that a request
+	// without a record was last logged for.
+	unrecordedLogged map[string]time.Time
 }
 
 // New starts an entry instance, which runs until Shutdown is called. It returns
@@ -147,14 +151,16 @@
 		platform: p, logger: logger, metrics: newMetrics(),
 		queues: dispatch.NewQueues(maxQueueLength, time.Now),
 		pool:   backend.NewPool(poolOptions...), budgets: make(map[string]*retry.SlidingWindow),
+		unrecordedLogged: make(map[string]time.Time),
 	}
 	g.clients = newClientLimits(&s.Limits, g.metrics, logger)
 	g.limits = newLimits(g)
 	g.limits.publish(g.metrics.vars)
-	g.balancer = dispatch.NewBalancer(s.Zone, dispatch.WithGrants(g.limits.holder))
+	g.balancer = dispatch.NewBalancer(s.Zone, dispatch.WithGrants(g.limits.holder), dispatch.WithDrainTime(s.Bounds.Drain))
 	g.settings.Gateway = s
 	g.settings.Bounds = bounds{
 		Revocation: s.Bounds.Revocation, Grace: s.Bounds.Grace, BrokenAfter: s.Bounds.BrokenAfter,
+		Drain: s.Bounds.Drain,
 		Retries: retry.Limit{
 			Span: s.Bounds.RetrySpan, Ratio: s.Bounds.RetryRatio * retryFactor, Slack: s.Bounds.RetrySlack * retryFactor,
 		},
@@ -315,14 +321,6 @@
 	every(ctx, sweepInterval, func() {
 		g.pool.CloseExpired()
 		g.limits.forgetUnlisted(time.Now(), g.registry.View())
+		g.forgetUnrecorded(g.registry.View())
 	})
 }
-
-// lastAddress returns the last known address of a server whose record was
-// deleted, or "" if the registry no longer keeps that record.
-func (g *Gateway) lastAddress(id string) string {
-	if s := g.registry.View().Removed[id]; s != nil {
-		return s.Address
-	}
-	return ""
-}
--- a/internal/gateway/lease.go
+++ b/internal/gateway/lease.go
@@ -57,6 +57,7 @@
 	cl.controller = formation.NewController(cl.gateway.settings.Zone, cl.gateway.settings.Zones, next.Epoch,
 		cl.gateway.settings.Bounds.BrokenAfter, groups)
 	cl.controller.IgnoreViewsBefore(sentAt)
+	cl.controller.SetDrainTime(cl.gateway.settings.Bounds.Drain)
 	event.ControllerLeaseAcquired.Log(cl.gateway.logger, logrus.Fields{"term": next.Epoch, "groups": len(groups), "row-version": version})
 	cl.wake()
 }
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -182,8 +182,7 @@
 // forgetUnlisted forgets the limits of servers that are gone.
 func (l *limits) forgetUnlisted(now time.Time, v *registry.View) {
 	l.book.Retain(now, func(inc registry.Incarnation) bool {
-		s := v.Servers[inc.ID]
-		return s != nil && s.StartTime == inc.StartTime
+		return l.gateway.isListed(now, v, inc)
 	})
 	l.allocator.Retain(now, func(inc registry.Incarnation) bool { return l.book.Rate(inc) > 0 })
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -24,6 +24,9 @@
 	limitedSends expvar.Int
 	// limitGrants counts the requests at such servers that this entry granted others.
 	limitGrants expvar.Int
+	// groupsKept counts how often a group went on although a member lost its record,
+	// and unrecordedSends the requests sent to servers without a record.
+	groupsKept, unrecordedSends expvar.Int
 
 	// waited is the time that each attempt spent in the queue, whether or not it
 	// got a reservation. first is the time to the first event of a stream, or to
@@ -50,6 +53,8 @@
 	m.vars.Set("quarantine-rejections", &m.heldBack)
 	m.vars.Set("limited-sends", &m.limitedSends)
 	m.vars.Set("limit-grants", &m.limitGrants)
+	m.vars.Set("groups-kept-without-record", &m.groupsKept)
+	m.vars.Set("sends-without-record", &m.unrecordedSends)
 	return m
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -64,6 +64,8 @@
 	// stalled counts the entries that report the server as stalled, and progress
 	// those whose streams from it advance.
 	stalled, progress int
+	// progressAt is when the latest of the reports of progress was received.
+	progressAt time.Time
 }
 
 func (s *loadSum) add(l peer.Load, sign int) {
@@ -265,10 +267,13 @@
 		}
 	}
 	ps.mu.Unlock()
-	servers := ps.gateway.registry.View().Servers
+	v := ps.gateway.registry.View()
 	loads := make([]peer.Load, 0, len(sums))
 	for inc, sum := range sums {
-		s := servers[inc.ID]
+		s := v.Servers[inc.ID]
+		if s == nil {
+			s = v.Removed[inc.ID]
+		}
 		own := ps.gateway.settings.Zone
 		if zone == "" || zone == own || (s != nil && (s.Zone == zone || s.Zone == own)) {
 			loads = append(loads, sum.load(inc))
@@ -295,6 +300,7 @@
 		sum.add(peer.Load{InFlight: count, Stalled: stalled[inc]}, 1)
 		sums[inc] = sum
 	}
+	addAlive(sums, ps.gateway.balancer, time.Now())
 	return sums
 }
 
@@ -322,7 +328,7 @@
 	addLoads(sums, ps.askerLoads[entry].loads, -1)
 	loads := make([]peer.Load, 0, len(sums))
 	for inc, sum := range sums {
-		if sum.inFlight > 0 || sum.stalled > 0 {
+		if sum.inFlight > 0 || sum.stalled > 0 || sum.progress > 0 {
 			loads = append(loads, sum.load(inc))
 		}
 	}
@@ -404,12 +410,13 @@
 				continue
 			}
 			addLoads(sums, reported.loads, 1)
+			noteProgress(sums, reported)
 		}
 	}
 	ps.sums = sums
 	loads := make(map[registry.Incarnation]dispatch.PeerLoad, len(sums))
 	for inc, sum := range sums {
-		loads[inc] = dispatch.PeerLoad{InFlight: sum.inFlight, Stalled: sum.stalled > 0}
+		loads[inc] = dispatch.PeerLoad{InFlight: sum.inFlight, Stalled: sum.stalled > 0, AliveAt: sum.aliveAt()}
 	}
 	ps.mu.Unlock()
 	ps.gateway.balancer.SetPeerLoads(loads)
--- a/internal/gateway/prober.go
+++ b/internal/gateway/prober.go
@@ -36,14 +36,20 @@
 	mu sync.Mutex
 	// states holds the state of each probed server, by its ID.
 	states map[string]*probeState
+	// advancing and stalled are the IDs of the servers whose streams advance or are
+	// stalled (observeStreams).
+	advancing, stalled map[string]bool
 }
 
 // probeState is the state of the probes of one server.
 type probeState struct {
 	formation.ProbeResult
 	// address is the last known address, or empty if none is known.
-	address  string
-	inFlight bool
+	address string
+	// startTime identifies the incarnation of a server without a record. It is 0 for
+	// servers with a record, or if it is not known.
+	startTime int64
+	inFlight  bool
 	// sentAt is when the last probe was sent, by the boot clock.
 	sentAt time.Time
 }
@@ -53,16 +59,19 @@
 }
 
 // result returns the result of the probes of a server. It is empty if no probe has
-// ended. A server counts as answering while a peer observes progress on it.
+// ended. A server counts as answering while a peer observes progress on it. While
+// servers without a record are kept, so do those whose streams advance.
 func (p *prober) result(id string) formation.ProbeResult {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.states[id]
 	switch {
 	case s == nil:
-		return formation.ProbeResult{}
+		return formation.ProbeResult{Stalled: p.stalled[id]}
 	case !s.FailingSince.IsZero() && p.gateway.peers.hasProgress(id):
 		return formation.ProbeResult{Answered: true}
+	case p.gateway.keepsUnrecorded():
+		return p.withStreams(id, s.ProbeResult)
 	}
 	return s.ProbeResult
 }
@@ -78,9 +87,9 @@
 			p.states[id] = &probeState{}
 		}
 		if srv := v.Servers[id]; srv != nil {
-			p.states[id].address = srv.Address
-		} else if p.states[id].address == "" {
-			p.states[id].address = p.gateway.lastAddress(id)
+			p.states[id].address, p.states[id].startTime = srv.Address, 0
+		} else if last := v.Removed[id]; last != nil {
+			p.states[id].address, p.states[id].startTime = last.Address, last.StartTime
 		}
 	}
 	for id, s := range p.states {
@@ -95,8 +104,8 @@
 		}
 		s.inFlight, s.sentAt = true, now
 		p.gateway.metrics.probes.Add(1)
-		address := s.address // the probe runs without the lock
-		p.gateway.spawn(func() { p.probeServer(ctx, id, address) })
+		target := registry.Server{ID: id, Address: s.address, StartTime: s.startTime} // the probe runs without the lock
+		p.gateway.spawn(func() { p.probeServer(ctx, target) })
 	}
 }
 
@@ -113,10 +122,17 @@
 
 // probeServer sends one probe and records its result. Every error counts as a
 // failed probe.
-func (p *prober) probeServer(ctx context.Context, id, address string) {
+func (p *prober) probeServer(ctx context.Context, target registry.Server) {
+	id, address := target.ID, target.Address
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	srv, err := p.gateway.platform.FetchServer(ctx, registry.Server{ID: id, Address: address})
+	replaced := err == nil && target.StartTime != 0 && isOther(srv, target.Incarnation())
+	if replaced {
+		err = errors.New("another server or incarnation answers")
+	} else if err == nil {
+		p.gateway.observeReport(target.Incarnation(), srv)
+	}
 	if err == nil && srv.Leaving {
 		p.gateway.limits.observeLeaving(time.Now(), srv.Incarnation())
 	}
@@ -140,5 +156,5 @@
 		event.ServerUnresponsive.Log(p.gateway.logger, logrus.Fields{"server": id, "address": address, "error": err})
 	}
 	s.Answered = false
-	s.Refused = errors.Is(err, syscall.ECONNREFUSED)
+	s.Refused = replaced || errors.Is(err, syscall.ECONNREFUSED)
 }
