Test servers that lose the store in a site of several entries

Evidence: TestPatternServersThatLoseTheStoreGoOnServing, 8 of 12 servers of a zone without the store for 8 s. The checker reports requests later than the drain time after a record went. The flag -site-drain plays all other cases of internal/site with a drain time.

--- a/internal/site/machine_test.go
+++ b/internal/site/machine_test.go
@@ -90,7 +90,7 @@
 		CallerAddress: m.address(), ReadinessAddress: m.host + ":81", ReadinessPath: "/ready",
 		PeerAddress: m.host + ":82", PeerKey: "between entries",
 		Bounds: settings.GatewayBounds{
-			Revocation: revocation, Grace: grace, BrokenAfter: brokenAfter, RetrySpan: retryWindow, RetryRatio: retryRatio, RetrySlack: retrySlack,
+			Revocation: revocation, Grace: grace, BrokenAfter: brokenAfter, Drain: s.drain, RetrySpan: retryWindow, RetryRatio: retryRatio, RetrySlack: retrySlack,
 		},
 	}, s.platform(p), logger,
 		gateway.WithListen(p.listen), gateway.WithDial(p.dial), gateway.WithBootClock(m.bootClock))
--- a/internal/site/requests_test.go
+++ b/internal/site/requests_test.go
@@ -70,6 +70,7 @@
 	defer s.mu.Unlock()
 	h := s.hosts.ByID[srv.id]
 	s.checker.requestArrived(r.Header, h, srv.coldUntil)
+	s.checkRecord(r.Header.Get("Id"), srv)
 	if srv.faults.limit > 0 {
 		w.Header().Set(limitHeader, strconv.FormatFloat(srv.faults.limit, 'f', 2, 64))
 	}
--- a/internal/site/server_test.go
+++ b/internal/site/server_test.go
@@ -64,6 +64,8 @@
 	// republishAt is when the server notices that its record has expired and
 	// writes it again.
 	republishAt time.Time
+	// goneAt is when the server's record was deleted. It is zero while it has one.
+	goneAt time.Time
 	// coldUntil is when the server's cold rate limit ends.
 	coldUntil time.Time
 }
@@ -200,7 +202,7 @@
 	lapsed := now.Sub(srv.reportedAt) > serverRecordTTL
 	if lapsed && srv.lastWritten != "" {
 		s.store.Delete(serverTable, h.ID)
-		srv.lastWritten = ""
+		srv.lastWritten, srv.goneAt = "", now
 		srv.republishAt = now.Add(time.Duration(s.rng.IntN(int(republishWithin))))
 		return
 	}
@@ -216,6 +218,7 @@
 	}
 	srv.reportedAt = now
 	if string(encoded) != srv.lastWritten {
+		srv.goneAt = time.Time{}
 		srv.lastWritten = string(encoded)
 		s.store.Put(serverTable, h.ID, encoded)
 	}
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -66,6 +66,8 @@
 	stopped          chan struct{}
 	wg               sync.WaitGroup
 	lastHostNumber   int
+	// drain is the drain time of the entries that start from now on.
+	drain time.Duration
 }
 
 // orderFaults are faults in the delivery of orders to servers.
@@ -87,7 +89,7 @@
 		hosts: standin.NewHosts(standin.HostTiming{
 			Load: time.Second, Warm: 400 * time.Millisecond, Reconnect: 100 * time.Millisecond, Open: 50 * time.Millisecond, BrokenAfter: brokenAfter,
 		}),
-		config: firstConfig(),
+		config: firstConfig(), drain: *siteDrain,
 	}
 	s.callers = callers{site: s, perZone: 1}
 	s.putConfig()
