Describe how groups with missing records are kept, and model reopening

The pacing of closures also counts groups that an earlier controller opened, and a member that could not be probed is kept while the streams of its leader advance. A group counts as kept once the member without a record has answered. spec/group.pml has an order to close and the reopening: 3,451 states without an error; the broken variant fails.

--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -57,6 +57,8 @@
 	// Stalled reports that requests of an entry at the server make no progress, and
 	// those of no other entry do.
 	Stalled bool
+	// Advancing reports that streams of an entry from the server make progress.
+	Advancing bool
 }
 
 // Controller decides about the groups of one zone. It is not safe for
@@ -164,8 +166,7 @@
 	PhaseChanges []PhaseChange
 	// ServersToProbe lists the servers to probe.
 	ServersToProbe []string
-	// Kept lists the groups that go on although more members have no record since the
-	// previous step.
+	// Kept lists the groups that go on because members without a record answer probes.
 	Kept []KeptGroup
 }
 
--- a/internal/formation/missing.go
+++ b/internal/formation/missing.go
@@ -25,7 +25,8 @@
 type KeptGroup struct {
 	Group registry.GroupID
 	Model string
-	// Members lists the IDs of the members without a record.
+	// Members lists the IDs of the members without a record that have answered a probe
+	// since the previous step.
 	Members []string
 	// LostContact is set if so many records went at one moment that the servers have
 	// probably lost the store and not left.
@@ -42,13 +43,17 @@
 
 // absence describes the members of a group that have no record.
 type absence struct {
-	// since is when each of them was first seen without its record.
-	since map[registry.Incarnation]time.Time
+	// since is when each of them was first seen without its record. answered holds
+	// those that have answered a probe since then.
+	since    map[registry.Incarnation]time.Time
+	answered map[registry.Incarnation]bool
 	// departed is set if one of them probably leaves: its record did not go together
 	// with many others.
 	departed bool
-	// stalledSince is when the leader's streams were first seen stalled meanwhile.
+	// stalledSince is when the leader's streams were first seen stalled meanwhile, and
+	// advancing is set if they advance. A group that lacks a member stalls.
 	stalledSince time.Time
+	advancing    bool
 	// closing is set if the group drains for no other reason than missing records.
 	closing bool
 }
@@ -65,21 +70,27 @@
 	for _, m := range g.Members {
 		if statusOf(g, m, v.Servers[m.ID]) != memberMissing {
 			delete(a.since, m)
+			delete(a.answered, m)
 			continue
 		}
 		if a.since == nil {
-			a.since = make(map[registry.Incarnation]time.Time)
+			a.since, a.answered = make(map[registry.Incarnation]time.Time), make(map[registry.Incarnation]bool)
 		}
 		if _, known := a.since[m]; !known {
 			a.since[m] = now
+		}
+		if !a.answered[m] && probe(m.ID).Answered {
+			a.answered[m] = true
 			ids = append(ids, m.ID)
 		}
 		_, lostContact := v.LostContact(m.ID)
 		a.departed = a.departed || !lostContact
 		lost = lost || lostContact
 	}
+	leader := probe(g.leader().ID)
+	a.advancing = leader.Advancing
 	switch {
-	case len(a.since) == 0 || !probe(g.leader().ID).Stalled:
+	case len(a.since) == 0 || !leader.Stalled:
 		a.stalledSince = time.Time{}
 	case a.stalledSince.IsZero():
 		a.stalledSince = now
@@ -106,7 +117,7 @@
 		return &endCause{reason: "member " + m.ID + " has no server record and does not answer"}
 	case last != nil && last.StartTime == m.StartTime && last.Leaving:
 		return &endCause{reason: "member " + m.ID + " is leaving", graceful: true}
-	case !p.Answered && p.FailingSince.IsZero() && now.Sub(since) >= memberTimeout:
+	case !p.Answered && p.FailingSince.IsZero() && !g.absence.advancing && now.Sub(since) >= memberTimeout:
 		if c.mayEndForRecords(g, now) {
 			return &endCause{reason: "member " + m.ID + " has no server record and could not be probed", missing: true, recordsOnly: true}
 		}
@@ -124,12 +135,12 @@
 // mayEndForRecords reports whether a group may end for a missing record alone: at most
 // half of a model's serving groups do so within closurePeriod, but at least one may.
 func (c *Controller) mayEndForRecords(g *Group, now time.Time) bool {
-	if g.Phase != Serving {
+	if !g.mayServe() {
 		return true
 	}
 	serving := 0
 	for _, other := range c.groups {
-		if other.Model == g.Model && other.Phase == Serving {
+		if other.Model == g.Model && other.mayServe() {
 			serving++
 		}
 	}
@@ -143,6 +154,10 @@
 	return closed < max((serving+closed)/2, 1)
 }
 
+// mayServe reports whether the group serves, or may serve since an earlier controller
+// opened it.
+func (g *Group) mayServe() bool { return g.Phase == Serving || (g.Phase == Forming && g.mayOpen) }
+
 // closure is the end of a serving group for a missing record alone.
 type closure struct {
 	model string
@@ -152,7 +167,7 @@
 // noteClosure records why a group ends.
 func (c *Controller) noteClosure(g *Group, cause *endCause, now time.Time) {
 	g.absence.closing = cause.missing && cause.graceful
-	if cause.recordsOnly && g.Phase == Serving {
+	if cause.recordsOnly && g.mayServe() {
 		c.closures = append(c.closures, closure{model: g.Model, at: now})
 	}
 }
--- a/internal/gateway/prober.go
+++ b/internal/gateway/prober.go
@@ -67,7 +67,7 @@
 	s := p.states[id]
 	switch {
 	case s == nil:
-		return formation.ProbeResult{Stalled: p.stalled[id]}
+		return formation.ProbeResult{Stalled: p.stalled[id], Advancing: p.advancing[id]}
 	case !s.FailingSince.IsZero() && p.gateway.peers.hasProgress(id):
 		return formation.ProbeResult{Answered: true}
 	case p.gateway.keepsUnrecorded():
--- a/internal/gateway/unrecorded.go
+++ b/internal/gateway/unrecorded.go
@@ -160,7 +160,7 @@
 // caller holds p.mu.
 func (p *prober) withStreams(id string, r formation.ProbeResult) formation.ProbeResult {
 	if p.advancing[id] {
-		return formation.ProbeResult{Answered: true}
+		return formation.ProbeResult{Answered: true, Advancing: true}
 	}
 	r.Stalled = p.stalled[id]
 	return r
--- a/spec/group.pml
+++ b/spec/group.pml
@@ -10,6 +10,9 @@
  * the leader nothing but to open or to leave. What a steward reads is the store,
  * which never shows an older state again.
  *
+ * The steward may close the group and, before it tells the leader to leave, open it
+ * again, as it does when a member was without a record for some time.
+ *
  * Claims: the leader opens only after the member was ready, and it never
  * serves while the member is in group 2.
  *
@@ -18,6 +21,7 @@
 #define OUT   0
 #define READY 1
 #define OPEN  2
+#define CLOSING 3  /* requests are still in progress */
 #define MOST  2    /* copies of an order on their way */
 
 byte leader = OUT;
@@ -30,6 +34,7 @@
 byte join_member = 0;
 byte join_second = 0;
 byte open = 0;
+byte close = 0;
 byte leave = 0;
 
 active proctype Leader() {
@@ -41,6 +46,9 @@
 		:: leader == READY -> assert(was_ready); assert(member != 2); leader = OPEN
 		:: else
 		fi }
+	:: atomic { close > 0 -> close--;
+		if :: leader == OPEN -> leader = CLOSING :: else fi }
+	:: leader == CLOSING -> leader = READY
 	:: atomic { leave > 0 -> leave--; leader = OUT }
 	od
 }
@@ -50,7 +58,8 @@
 	:: atomic { join_member > 0 -> join_member--;
 		/* group 2 has the higher epoch */
 		if :: member != 2 -> member = 1; was_ready = true :: else fi }
-	:: atomic { join_second > 0 -> join_second--; assert(leader != OPEN); member = 2 }
+	:: atomic { join_second > 0 -> join_second--;
+		assert(leader != OPEN && leader != CLOSING); member = 2 }
 	od
 }
 
@@ -66,6 +75,7 @@
 #endif
 	:: atomic { steward == me && member == 0 && join_member < MOST -> join_member++ }
 	:: atomic { steward == me && leader == READY && member == 1 && open < MOST -> may_open = true; open++ }
+	:: atomic { steward == me && leader == OPEN && close < MOST -> close++ }
 	:: steward == me -> break  /* the group ends */
 	od;
 end2:	do
