--- a/internal/dispatch/unrecorded.go
+++ b/internal/dispatch/unrecorded.go
@@ -25,10 +25,7 @@
 func (b *Balancer) candidates(now time.Time) iter.Seq[*registry.Server] {
 	return func(yield func(*registry.Server) bool) {
 		for id, s := range b.view.Servers {
-			if goneAt, gone := b.view.GoneSince[id]; gone && b.drain > 0 && !b.maySendUntilLater(goneAt, now) {
-				continue
-			}
-			if !yield(s) {
+			if (b.drain <= 0 || b.maySend(now, id)) && !yield(s) {
 				return
 			}
 		}
@@ -40,16 +37,16 @@
 	}
 }
 
-// maySendUntilLater reports whether requests may still begin at a server whose record
-// is known to be gone since goneAt.
-func (b *Balancer) maySendUntilLater(goneAt, now time.Time) bool {
-	return now.Sub(goneAt) < time.Duration(sendFraction*float64(b.drain))
+// maySend reports whether requests may still begin at a server as far as the time since
+// its record went is concerned.
+func (b *Balancer) maySend(now time.Time, id string) bool {
+	goneAt, gone := b.view.GoneSince[id]
+	return !gone || now.Sub(goneAt) < time.Duration(sendFraction*float64(b.drain))
 }
 
 // usable reports whether a leader without a record may get requests.
 func (b *Balancer) usable(now time.Time, s *registry.Server) bool {
-	goneAt := b.view.GoneSince[s.ID]
-	return b.maySendUntilLater(goneAt, now) && b.aliveSince(s.Incarnation(), goneAt)
+	return b.maySend(now, s.ID) && b.aliveSince(s.Incarnation(), b.view.GoneSince[s.ID])
 }
 
 // aliveSince reports whether the incarnation has shown a sign of life since a time.
@@ -114,7 +111,7 @@
 	var list []registry.Incarnation
 	for _, s := range b.unrecorded {
 		goneAt, l := b.view.GoneSince[s.ID], b.loads[s.Incarnation()]
-		if l != nil && b.maySendUntilLater(goneAt, now) && (l.provenAt.After(goneAt) || l.aliveAt.After(goneAt)) {
+		if l != nil && b.maySend(now, s.ID) && (l.provenAt.After(goneAt) || l.aliveAt.After(goneAt)) {
 			list = append(list, s.Incarnation())
 		}
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -410,7 +410,7 @@
 				continue
 			}
 			addLoads(sums, reported.loads, 1)
-			noteProgress(sums, reported)
+			ps.noteProgress(sums, reported)
 		}
 	}
 	ps.sums = sums
--- a/internal/gateway/unrecorded.go
+++ b/internal/gateway/unrecorded.go
@@ -107,11 +107,16 @@
 	return s.progressAt
 }
 
-// noteProgress sets when the progress of a peer's streams was last reported.
-func noteProgress(sums map[registry.Incarnation]loadSum, reported peerLoads) {
+// noteProgress sets when the progress of a peer's streams was last reported, for servers
+// without a record.
+func (ps *peers) noteProgress(sums map[registry.Incarnation]loadSum, reported peerLoads) {
+	if !ps.gateway.keepsUnrecorded() {
+		return
+	}
+	removed := ps.gateway.registry.View().Removed
 	for _, l := range reported.loads {
 		inc := registry.Incarnation{ID: l.Server, StartTime: l.StartTime}
-		if sum := sums[inc]; hasProgress(l) && reported.at.After(sum.progressAt) {
+		if sum := sums[inc]; removed[l.Server] != nil && hasProgress(l) && reported.at.After(sum.progressAt) {
 			sum.progressAt = reported.at
 			sums[inc] = sum
 		}
