--- a/internal/formation/reconcile.go
+++ b/internal/formation/reconcile.go
@@ -82,32 +82,6 @@
 	return found
 }
 
-// missingCause returns the reason to end a group one of whose members has no
-// record, or nil as long as the member's probe is under way. A member that answers
-// is only cut off from the store or leaves without notice. It must get no new work,
-// but what runs can end.
-func (g *Group) missingCause(m registry.Incarnation, p ProbeResult, now time.Time) *endCause {
-	if g.missingSince.IsZero() {
-		g.missingSince = now
-	}
-	gone := p.Refused || !p.FailingSince.IsZero()
-	if g.Phase < Serving || (!gone && !p.Answered && now.Sub(g.missingSince) >= memberTimeout) {
-		gone = true
-	}
-	if !gone && !p.Answered {
-		return nil
-	}
-	return &endCause{reason: "member " + m.ID + " has no server record", graceful: !gone}
-}
-
-// mayReregister reports whether a missing member may still write its record
-// after the group was restored. It applies for reregisterGrace, and only if this
-// process has not seen the member's record disappear. A forming group with
-// mayOpen set is a restored one.
-func (g *Group) mayReregister(m registry.Incarnation, now time.Time, v *registry.View) bool {
-	return g.Phase == Forming && g.mayOpen && v.RemovedAt[m.ID].IsZero() && now.Sub(g.Since) < reregisterGrace
-}
-
 func (c *Controller) reconcileForming(g *Group, now time.Time, v *registry.View, e *routes.Engine, probe func(string) ProbeResult, d *Decision) {
 	cause := c.findEndCause(g, now, v, probe, d)
 	if cause == nil && now.Sub(g.Since) > formingTimeout {
