--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -62,6 +62,9 @@
 	PlanChanged              = Event{420, logrus.InfoLevel, "number of replica groups to form by model changed"}
 	DemandInvalid            = Event{421, logrus.WarnLevel, "entry reported an invalid demand: it is ignored"}
 	PlanBasisChanged         = Event{422, logrus.InfoLevel, "replica groups are planned by another basis"}
+	UnrecordedServerUsed     = Event{423, logrus.InfoLevel, "requests go on to a backend server whose record is gone"}
+	GroupKept                = Event{424, logrus.InfoLevel, "replica group goes on although members have no server record"}
+	RecordsLost              = Event{425, logrus.WarnLevel, "many server records went at one moment: the servers have probably lost the store"}
 	AttemptBroken            = Event{504, logrus.WarnLevel, "attempt of a streamed response broke off; its server was probed"}
 	PartQuarantined          = Event{505, logrus.WarnLevel, "prompt part in quarantine: requests with it are rejected"}
 	PartReleased             = Event{506, logrus.InfoLevel, "prompt part released from quarantine"}
@@ -84,6 +87,6 @@
 		ConfigApplied, ConfigRejected, ConfigFromPeer, ConfigSnapshot, SnapshotFailed,
 		ProvisionalOrderAccepted, ProvisionalOrderRecorded,
 		LogLinesDropped, SettingsReloaded, SettingsRejected, ServerRecordChanged, ServerRecordStale, ControllerLeaseAcquired, ControllerLeaseLost, CallRejected,
-		OrderSent, GroupPhaseChanged, ServerUnresponsive, ServerResponsive, LimitChanged, LimitInvalid, LimitsAllocated, ServerLeaving, ServerWaits, PlanChanged, DemandInvalid, PlanBasisChanged, RequestServed, EvacuatedZonesChanged,
+		OrderSent, GroupPhaseChanged, ServerUnresponsive, ServerResponsive, LimitChanged, LimitInvalid, LimitsAllocated, ServerLeaving, ServerWaits, PlanChanged, DemandInvalid, PlanBasisChanged, UnrecordedServerUsed, GroupKept, RecordsLost, RequestServed, EvacuatedZonesChanged,
 	}
 }
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -54,6 +54,11 @@
 	// Answered reports that the last probe was answered, or that a peer's requests
 	// make progress on the server.
 	Answered bool
+	// Stalled reports that requests of an entry at the server make no progress, and
+	// those of no other entry do.
+	Stalled bool
+	// Advancing reports that streams of an entry from the server make progress.
+	Advancing bool
 }
 
 // Controller decides about the groups of one zone. It is not safe for
@@ -87,6 +92,10 @@
 	firstSeenAt time.Time
 	lastSeenAt  time.Time
 	planner     demandPlanner
+	// drain is the drain time (SetDrainTime). closures lists the latest groups that
+	// ended for missing records alone.
+	drain    time.Duration
+	closures []closure
 }
 
 type orderKey struct {
@@ -162,6 +171,8 @@
 	// Plan describes the plan of the groups by model, for the log and the metrics. It
 	// is nil if the step planned nothing.
 	Plan *PlanReport
+	// Kept lists the groups that go on because members without a record answer probes.
+	Kept []KeptGroup
 }
 
 // PhaseChange describes the change of a group to another phase.
--- a/internal/gateway/control_loop.go
+++ b/internal/gateway/control_loop.go
@@ -174,8 +174,10 @@
 	// Demand means that another entry has received a request.
 	cl.demandSeen = cl.demandSeen || len(zone.Rates) > 0
 	cl.controller.SetBootstrapping(cl.gateway.settings.FirstStart && cl.gateway.metrics.requests.Value() == 0 && !cl.demandSeen)
+	cl.prober.observeStreams(time.Now())
 	d := cl.controller.Step(now, v, service, engine, cl.prober.result)
 	cl.logPhaseChanges(d.PhaseChanges)
+	cl.logKept(d.Kept, v)
 	cl.gateway.demands.reportPlan(d.Plan)
 	cl.prober.probe(ctx, v, append(d.ServersToProbe, cl.stalledMembers(v)...))
 	if !cl.renewIfDue(ctx, now, d.NewGroups, d.ObsoleteRecords) {
