--- a/internal/processfleet/configuration.go
+++ b/internal/processfleet/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"strings"
 
@@ -11,7 +12,7 @@
 )
 
 func (f *Fleet) writeKeys() error {
-	for name, key := range map[string]string{"operator.key": operatorKey, "peer.key": peerKey, "caller.key": CallerKey} {
+	for name, key := range map[string]string{"operator.key": OperatorKey, "peer.key": PeerKey, "caller.key": CallerKey} {
 		if err := os.WriteFile(f.path(name), []byte(key), 0o600); err != nil {
 			return errors.Wrap(err, "write key file")
 		}
@@ -22,20 +23,29 @@
 func (f *Fleet) settings(name, zone string) string {
 	text := `{
 	"name": "NAME", "zone": "ZONE",
-	"caller": {"address": "127.0.0.1:0"},
+	"caller": {"address": "127.0.0.1:0"TLS},
 	"operator": {"address": "127.0.0.1:0", "key-file": "DIRECTORY/operator.key"},
 	"peer": {"address": "127.0.0.1:0", "key-file": "DIRECTORY/peer.key"},
 	"platform": {
 		"table-url": "http://PLATFORM", "objects-url": "http://PLATFORM/objects",
 		"instances-url": "http://PLATFORM/instances", "timeout": "1s",
 	},
+	"limits": {LIMITS},
 }`
-	return strings.NewReplacer("NAME", name, "ZONE", zone, "DIRECTORY", f.directory, "PLATFORM", f.Platform.Address).Replace(text)
+	certificate, limits := "", ""
+	if f.Plan.CertificateFile != "" {
+		certificate = fmt.Sprintf(`, "tls-certificate-file": %q, "tls-key-file": %q`, f.Plan.CertificateFile, f.Plan.PrivateKeyFile)
+	}
+	if f.Plan.EntryMemoryMB > 0 {
+		limits = fmt.Sprintf(`"memory-mb": %d`, f.Plan.EntryMemoryMB)
+	}
+	return strings.NewReplacer("NAME", name, "ZONE", zone, "DIRECTORY", f.directory, "PLATFORM", f.Platform.Address,
+		"TLS", certificate, "LIMITS", limits).Replace(text)
 }
 
 // Client returns a client for an entry's operator API.
 func (f *Fleet) Client(e *Entry) *operator.Client {
-	return operator.NewClient(e.Operator, operatorKey)
+	return operator.NewClient(e.Operator, OperatorKey)
 }
 
 func (f *Fleet) configure(ctx context.Context) error {
--- a/internal/processfleet/fleet.go
+++ b/internal/processfleet/fleet.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	operatorKey = "operator-key-of-the-process-fleet"
-	peerKey     = "peer-key-of-the-process-fleet"
+	// OperatorKey and PeerKey are the keys of the entries' other listeners.
+	OperatorKey = "operator-key-of-the-process-fleet"
+	PeerKey     = "peer-key-of-the-process-fleet"
 	// CallerKey is the bearer key of the fleet's only organisation.
 	CallerKey = "caller-key-of-the-process-fleet"
 	// Model is the name of the fleet's model service.
@@ -38,6 +39,14 @@
 	ColdLimit      int
 	// EngineFlags are additional flags for the engine stand-ins.
 	EngineFlags []string
+	// EntryMemoryMB is the limit of the instance's memory in the entries' settings, and
+	// EntryDescriptors the operating system's limit for their processes. 0 leaves the
+	// default.
+	EntryMemoryMB    int
+	EntryDescriptors int
+	// CertificateFile and PrivateKeyFile enable TLS on the listener for callers.
+	CertificateFile string
+	PrivateKeyFile  string
 }
 
 // Instance is the process of a stand-in.
@@ -141,7 +150,7 @@
 }
 
 func (f *Fleet) startStandIn(ctx context.Context, name, zone, service string, args ...string) (*Instance, error) {
-	p, err := start(name, f.path("stand-in"), args...)
+	p, err := start(name, 0, f.path("stand-in"), args...)
 	if err != nil {
 		return nil, err
 	}
@@ -211,7 +220,7 @@
 	if err := os.WriteFile(file, []byte(f.settings(name, zone)), 0o600); err != nil {
 		return nil, errors.Wrap(err, "write settings file")
 	}
-	p, err := start(name, f.path("hibiscuspulley"), "serve", "--settings", file)
+	p, err := start(name, f.Plan.EntryDescriptors, f.path("hibiscuspulley"), "serve", "--settings", file)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/processfleet/process.go
+++ b/internal/processfleet/process.go
@@ -7,6 +7,7 @@
 	"io"
 	"os/exec"
 	"regexp"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -29,8 +30,13 @@
 	updated chan struct{}
 }
 
-// start starts a program and captures its standard output and error.
-func start(name, program string, args ...string) (*Process, error) {
+// start starts a program and captures its standard output and error. descriptors limits
+// its open files and connections unless it is 0.
+func start(name string, descriptors int, program string, args ...string) (*Process, error) {
+	if descriptors > 0 {
+		limited := "ulimit -n " + strconv.Itoa(descriptors) + ` && exec "$0" "$@"`
+		program, args = "/bin/sh", append([]string{"-c", limited, program}, args...)
+	}
 	p := &Process{Name: name, cmd: exec.Command(program, args...), done: make(chan struct{}), updated: make(chan struct{})}
 	reader, writer := io.Pipe()
 	p.cmd.Stdout = writer
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -149,6 +149,7 @@
 		QueueTimeout:    o.duration("queue-timeout", defaultQueueTimeout),
 		WriteTimeout:    o.duration("write-timeout", defaultWriteTimeout),
 		ShutdownTimeout: o.duration("shutdown-timeout", defaultShutdownTimeout),
+		Clients:         r.clientLimits(o),
 	}
 	o.reportUnknown()
 	return l
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -73,6 +73,8 @@
 	// ShutdownTimeout limits how long requests in flight may continue after the
 	// shutdown begins.
 	ShutdownTimeout time.Duration
+	// Clients bounds what clients of all listeners may make the entry hold together.
+	Clients ClientLimits
 }
 
 // Grouping holds the settings of the planner of replica groups.
