Bound what clients make an entry of serve hold

Nothing bounded the sum of what the clients of serve hold: bodies were read whole however many came at once, a parsed request took up to twenty times its body, a head of short lines many times its size, and open connections could take all descriptors.

The listeners for callers, operators and peers now share one limiter, with 0.4 of limits.memory-mb and shares of limits.descriptors. A model request refers to its body instead of copying its messages, and is charged twice: for the body and for the copy that goes to the engine. Charged are also the replayed start of plain calls' bodies, operators' bodies and what is parsed from them, and the text of responses. A request that finds no memory gets 503 with the code no-memory and the run state not-run.

The limiter handles TLS: it counts heads after decryption, charges what TLS buffers without delivering it, and closes a connection below TLS, whose Close may wait. It keeps write deadlines that the server sets. A connection whose body the server waits for counts as waiting for its client wherever it is read: net/http reads the rest of an unread body before it responds, with no timeout.

--- a/internal/command/serve/serve.go
+++ b/internal/command/serve/serve.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/pkg/errors"
@@ -13,6 +14,10 @@
 	"github.com/hibiscuspulley/hibiscuspulley/internal/settings"
 )
 
+// heapFraction is the fraction of the instance's memory above which the Go runtime
+// collects garbage more often. The program's code and the kernel's buffers take the rest.
+const heapFraction = 0.75
+
 // Options holds the options of serve.
 type Options struct {
 	Factory *factory.Factory
@@ -38,6 +43,8 @@
 	if err != nil {
 		return err
 	}
+	s.Limits.Clients.SetDefaults()
+	debug.SetMemoryLimit(int64(heapFraction * float64(s.Limits.Clients.MemoryBytes)))
 	logger := logrus.New()
 	logger.SetOutput(opts.Factory.Err)
 	level, err := logrus.ParseLevel(s.LogLevel)
--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,7 +27,8 @@
 )
 
 // writeTimeout is how long a client may take no byte of its response before its
-// connection is closed, also while memory is not short.
+// connection is closed, also while memory is not short. A write deadline that the
+// server sets replaces it.
 const writeTimeout = 20 * time.Second
 
 // conn is a connection whose memory is charged to a Limiter.
@@ -41,6 +43,16 @@
 	headCharged int64
 	// unreported counts the bytes that were read since the last progress.
 	unreported int64
+	// sealed and sealedCharged are the bytes that TLS has read without delivering any,
+	// and what is charged for them. Only the goroutine that reads changes them.
+	sealed, sealedCharged int64
+	// handshake runs the TLS handshake. It is nil without TLS, and once it has run.
+	handshake func() error
+	// writeDeadline is the write deadline that the server has set, in nanoseconds of
+	// Unix time; 0 if there is none.
+	writeDeadline atomic.Int64
+	// readEndedAt is when the last read ended.
+	readEndedAt time.Time
 	// evicted is set once the connection is closed to make room. It is guarded by
 	// limiter.mu.
 	evicted bool
@@ -92,7 +104,14 @@
 // Read implements net.Conn. It charges the heads of requests, and fails if there is no
 // memory for one.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	if c.handshake != nil {
+		if err := c.handshake(); err != nil {
+			return 0, err
+		}
+		c.handshake = nil
+	}
+	n, err := c.readWaiting(p)
+	c.releaseSealed()
 	if n == 0 {
 		return n, err
 	}
@@ -110,6 +129,35 @@
 	return n, err
 }
 
+// readWaiting reads. Within a request, the server waits for the client's body
+// meanwhile, also where no handler asks for it: net/http reads the rest of a body before
+// it responds. It reads single bytes only to notice that a client disconnects.
+func (c *conn) readWaiting(p []byte) (int, error) {
+	if c.inHead || len(p) <= 1 {
+		return c.Conn.Read(p)
+	}
+	// Bytes that are read one after the other are no progress, see progressBytes.
+	c.limiter.setReading(c, true, time.Since(c.readEndedAt) >= evictAfter)
+	n, err := c.Conn.Read(p)
+	c.limiter.setReading(c, false, false)
+	c.readEndedAt = time.Now()
+	return n, err
+}
+
+// setReading sets whether the server waits for a part of the connection's body.
+func (l *Limiter) setReading(c *conn, reading, progress bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.ledger.accounts[c]
+	if a == nil || c.evicted {
+		return
+	}
+	a.reading = reading
+	if progress {
+		a.progressAt = time.Now()
+	}
+}
+
 // progress records that the client did its part.
 func (l *Limiter) progress(c *conn) {
 	l.mu.Lock()
@@ -143,15 +191,36 @@
 	return nil
 }
 
-// Write implements net.Conn. It fails if the client takes nothing for writeTimeout.
+// SetWriteDeadline implements net.Conn.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	if t.IsZero() {
+		c.writeDeadline.Store(0)
+	} else {
+		c.writeDeadline.Store(t.UnixNano())
+	}
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	if err := c.SetWriteDeadline(t); err != nil {
+		return err
+	}
+	return c.SetReadDeadline(t)
+}
+
+// Write implements net.Conn. It fails if the client takes nothing for writeTimeout, or
+// at the write deadline.
 func (c *conn) Write(p []byte) (int, error) {
 	previous := c.limiter.setPhase(c, writing)
 	defer c.limiter.setPhase(c, previous)
 	written := 0
 	for {
 		chunk := p[written:min(len(p), written+writeStep)]
-		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-			return written, err
+		if c.writeDeadline.Load() == 0 {
+			if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+				return written, err
+			}
 		}
 		n, err := c.Conn.Write(chunk)
 		written += n
--- a/internal/connlimit/ledger.go
+++ b/internal/connlimit/ledger.go
@@ -30,13 +30,17 @@
 type account struct {
 	held  int64
 	phase phase
+	// reading is set while the server waits for a part of a request's body.
+	reading bool
 	// progressAt is when the client last did its part.
 	progressAt time.Time
 	listener   *listenerCount
 }
 
 // blocked reports whether the connection waits for its client.
-func (a *account) blocked() bool { return a.phase != working && a.phase != hijacked }
+func (a *account) blocked() bool {
+	return a.phase != hijacked && (a.phase != working || a.reading)
+}
 
 // listenerCount counts the open connections of one listener.
 type listenerCount struct {
--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -220,13 +220,13 @@
 func (l *Limiter) detach(c *conn, now time.Time, reason string) Eviction {
 	a := l.ledger.accounts[c]
 	e := Eviction{Address: c.RemoteAddr().String(), Held: a.held, Idle: now.Sub(a.progressAt), Reason: reason}
-	a.phase = working
+	a.phase, a.reading = working, false
 	c.evicted = true
 	return e
 }
 
 func (l *Limiter) closeEvicted(c *conn, e Eviction) {
 	l.evicted.Add(1)
-	_ = c.Conn.Close() // reads and writes of the HTTP server fail, and it closes c
+	_ = c.closeBelowTLS() // reads and writes of the HTTP server fail, and it closes c
 	l.onEvict(e)
 }
--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -1,6 +1,7 @@
 package connlimit
 
 import (
+	"crypto/tls"
 	"net"
 	"time"
 )
@@ -14,6 +15,8 @@
 	net.Listener
 	limiter *Limiter
 	count   listenerCount
+	// tls is nil without TLS.
+	tls *tls.Config
 }
 
 // Listen returns a listener whose connections are charged to the Limiter. It holds up to
@@ -23,6 +26,12 @@
 	return &listener{Listener: inner, limiter: l, count: listenerCount{limit: maxConns}}
 }
 
+// ListenTLS returns a listener as Listen does, whose connections use TLS. What TLS
+// buffers is charged too.
+func (l *Limiter) ListenTLS(inner net.Listener, maxConns int, cfg *tls.Config) net.Listener {
+	return &listener{Listener: inner, limiter: l, count: listenerCount{limit: maxConns}, tls: cfg}
+}
+
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
@@ -31,6 +40,9 @@
 			return nil, err
 		}
 		c := &conn{Conn: inner, limiter: l.limiter}
+		if l.tls != nil {
+			c.useTLS(l.tls)
+		}
 		if l.admit(c) {
 			return c, nil
 		}
@@ -43,6 +55,10 @@
 func (l *listener) admit(c *conn) bool {
 	now := time.Now()
 	limiter := l.limiter
+	size := int64(connBytes)
+	if l.tls != nil {
+		size += tlsBytes
+	}
 	limiter.mu.Lock()
 	var victim *conn
 	var e Eviction
@@ -51,7 +67,7 @@
 		if victim, found = limiter.ledger.longestIdle(now, &l.count); found {
 			e = limiter.detach(victim, now, "connections")
 		}
-	} else if limiter.ledger.used+connBytes > limiter.ledger.capacity {
+	} else if limiter.ledger.used+size > limiter.ledger.capacity {
 		if victim, found = limiter.ledger.stalled(now, nil); found {
 			e = limiter.detach(victim, now, "memory")
 		}
@@ -60,10 +76,10 @@
 		// The victim's account is closed at once, since nothing waits here.
 		limiter.ledger.remove(victim)
 	}
-	admitted := l.count.open < l.count.limit && limiter.ledger.used+connBytes <= limiter.ledger.capacity
+	admitted := l.count.open < l.count.limit && limiter.ledger.used+size <= limiter.ledger.capacity
 	if admitted {
 		limiter.ledger.accounts[c] = &account{phase: waiting, progressAt: now, listener: &l.count}
-		limiter.ledger.charge(c, connBytes, true)
+		limiter.ledger.charge(c, size, true)
 		l.count.open++
 	}
 	limiter.mu.Unlock()
--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -42,9 +42,9 @@
 	e.operators = &operatorAPI{
 		key: operatorKey, identity: identity, config: e.config, configurer: e.configurer,
 		platform: e.platform, health: e.health, holder: e.holder, views: e.views,
-		watches: e.watches, permits: e.permits, peers: e.peers, metrics: e.callers.metrics,
+		watches: e.watches, permits: e.permits, peers: e.peers, metrics: e.metrics,
 		burn:  e.callers.burn,
-		ready: e.Ready,
+		ready: e.Ready, clients: e.clients, bodyTimeout: e.settings.Limits.BodyTimeout,
 	}
 }
 
@@ -146,7 +146,7 @@
 	e.plain = newPlainProxy(e.settings.Zone, e.config, e.views.current, b, o)
 	e.callers = &callerAPI{
 		logger: e.logger, config: e.config, limits: e.settings.Limits, engines: e.engines,
-		router: e.router, plain: e.plain, budgets: b, metrics: newMetrics(),
+		router: e.router, plain: e.plain, budgets: b, metrics: e.metrics, clients: e.clients,
 		burn:    &burnCollector{zone: e.settings.Zone, recorder: burn.NewRecorder(), peers: e.peers},
 		peerKey: peerKey, ready: e.Ready,
 	}
--- a/internal/entry/caller_api.go
+++ b/internal/entry/caller_api.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
@@ -11,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/hibiscuspulley/hibiscuspulley/internal/config"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/connlimit"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/event"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/peer"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/settings"
@@ -38,6 +38,8 @@
 	plain   *plainProxy
 	budgets *retryBudgets
 	metrics *metrics
+	// clients bounds the memory of requests and of responses that wait for callers.
+	clients *connlimit.Limiter
 	// burn counts the requests that met or missed their service-level objectives.
 	burn    *burnCollector
 	peerKey string
@@ -165,7 +167,9 @@
 	if !a.ready() {
 		return unavailable("not-ready", "the entry is starting or shutting down; use another entry")
 	}
-	body, callerErr := a.readBody(w, r)
+	memory := &clientMemory{limiter: a.clients, ctx: r.Context()}
+	defer memory.release()
+	body, callerErr := a.readBody(w, r, memory)
 	if callerErr != nil {
 		return callerErr
 	}
@@ -185,6 +189,7 @@
 	defer a.router.endRequest(organisation)
 	g := a.newGeneration(request, service, organisation, path, chat)
 	g.publicID = g.attemptID(1)
+	g.memory = memory
 	g.sink = newBufferedSink(w)
 	if request.stream || id != "" {
 		g.sink = newStreamSink(w, a.limits.WriteTimeout, id) // another entry always receives a stream
@@ -240,32 +245,6 @@
 func unknownModel(name string) *caller.Error {
 	return &caller.Error{
 		Status: http.StatusNotFound, Code: "model_not_found", Run: caller.NotRun,
-		Message: "model " + name + " does not exist; see GET /v1/models",
-	}
-}
-
-// readBody reads a request body. The size and the read time are limited. Any
-// error other than an exceeded size limit is reported as an incomplete body.
-func (a *callerAPI) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *caller.Error) {
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(a.limits.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(a.limits.BodyBytes)))
-	if err == nil {
-		_ = control.SetReadDeadline(time.Time{})
-		return body, nil
-	}
-	// The deadline stays set: net/http would otherwise wait for the rest of the
-	// body before it closes the connection.
-	w.Header().Set("Connection", "close")
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, &caller.Error{
-			Status: http.StatusRequestEntityTooLarge, Code: "body-too-large", Run: caller.NotRun,
-			Message: "the request body exceeds the size limit; send a smaller one",
-		}
-	}
-	return nil, &caller.Error{
-		Status: http.StatusRequestTimeout, Code: "body-incomplete", Run: caller.NotRun,
-		Message: "the request body was not received completely within the time limit; send it again",
+		Message: "model " + shorten(name) + " does not exist; see GET /v1/models",
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/hibiscuspulley/hibiscuspulley/internal/config"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/connlimit"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/event"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/membership"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/peer"
@@ -35,6 +36,9 @@
 type Entry struct {
 	settings settings.Settings
 	logger   *logrus.Logger
+	metrics  *metrics
+	// clients bounds what the clients of all listeners can make the entry hold.
+	clients *connlimit.Limiter
 
 	platform   *platform.Client
 	engines    *engine.Client
@@ -80,7 +84,8 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Entry{settings: s, logger: o.logger}
+	e := &Entry{settings: s, logger: o.logger, metrics: newMetrics()}
+	e.clients = newClientLimits(&e.settings.Limits.Clients, e.metrics, o.logger)
 	if err := e.listen(o); err != nil {
 		return nil, err
 	}
@@ -93,14 +98,16 @@
 // closes the others.
 func (e *Entry) listen(o options) error {
 	for _, open := range []struct {
-		cfg  settings.Listener
-		into **httpListener
+		cfg       settings.Listener
+		into      **httpListener
+		connShare float64
 	}{
-		{e.settings.Caller, &e.callerListener},
-		{e.settings.Operator, &e.operatorListener},
-		{e.settings.Peer, &e.peerListener},
+		{e.settings.Caller, &e.callerListener, callerConnShare},
+		{e.settings.Operator, &e.operatorListener, operatorConnShare},
+		{e.settings.Peer, &e.peerListener, peerConnShare},
 	} {
-		l, err := newListener(open.cfg, e.settings.Limits, o.listen)
+		maxConns := int(open.connShare * float64(e.settings.Limits.Clients.Descriptors))
+		l, err := newListener(open.cfg, e.settings.Limits, o.listen, e.clients, maxConns)
 		if err != nil {
 			e.closeListeners()
 			return err
--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/hibiscuspulley/hibiscuspulley/internal/connlimit"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/event"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/retry"
 	"github.com/hibiscuspulley/hibiscuspulley/pkg/caller"
@@ -51,6 +52,10 @@
 	// created is the Unix time in seconds that the chunks state.
 	created int64
 	sink    sink
+	// memory is what the request reserves of the memory for clients.
+	memory *clientMemory
+	// textReserved is the memory that is reserved for the delivered text.
+	textReserved int64
 
 	// receivedAt is when the request arrived.
 	receivedAt time.Time
@@ -96,6 +101,9 @@
 			return callerErr
 		}
 		err := g.attempt(ctx, t)
+		if errors.Is(err, connlimit.ErrNoMemory) {
+			return g.noTextMemory()
+		}
 		if err == nil || ctx.Err() != nil || errors.Is(err, errCallerDisconnected) {
 			return g.timeoutError(ctx, err)
 		}
@@ -300,6 +308,9 @@
 		return errors.Wrap(engine.ErrWrongEvent, err.Error())
 	}
 	if c.text != "" {
+		if err := g.reserveText(len(c.text)); err != nil {
+			return err
+		}
 		g.text.WriteString(c.text)
 		g.recordToken(t, time.Now())
 	}
--- a/internal/entry/listener.go
+++ b/internal/entry/listener.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/hibiscuspulley/hibiscuspulley/internal/connlimit"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/event"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/settings"
 )
@@ -21,9 +22,10 @@
 	done     chan struct{}
 }
 
-// newListener opens an address, with TLS if a certificate is configured.
-// Requests are handled only after serve was called.
-func newListener(cfg settings.Listener, limits settings.Limits, listen ListenFunc) (*httpListener, error) {
+// newListener opens an address, with TLS if a certificate is configured. The memory of
+// its connections, of which there are maxConns at most, is charged to clients. Requests
+// are handled only after serve was called.
+func newListener(cfg settings.Listener, limits settings.Limits, listen ListenFunc, clients *connlimit.Limiter, maxConns int) (*httpListener, error) {
 	listener, err := listen("tcp", cfg.Address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", cfg.Address)
@@ -34,19 +36,19 @@
 			_ = listener.Close()
 			return nil, errors.Wrapf(err, "load the TLS certificate of %s", cfg.Address)
 		}
-		listener = tls.NewListener(listener, &tls.Config{
+		listener = clients.ListenTLS(listener, maxConns, &tls.Config{
 			Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12,
 		})
+	} else {
+		listener = clients.Listen(listener, maxConns)
 	}
-	return &httpListener{
-		listener: listener,
-		done:     make(chan struct{}),
-		server: &http.Server{
-			ReadHeaderTimeout: limits.HeaderTimeout,
-			IdleTimeout:       limits.IdleTimeout,
-			MaxHeaderBytes:    limits.HeaderBytes,
-		},
-	}, nil
+	server := &http.Server{
+		ReadHeaderTimeout: limits.HeaderTimeout,
+		IdleTimeout:       limits.IdleTimeout,
+		MaxHeaderBytes:    limits.HeaderBytes,
+	}
+	clients.Install(server, nil)
+	return &httpListener{listener: listener, done: make(chan struct{}), server: server}, nil
 }
 
 func (l *httpListener) address() string {
--- a/internal/entry/operator_api.go
+++ b/internal/entry/operator_api.go
@@ -4,23 +4,29 @@
 	"context"
 	"crypto/subtle"
 	"encoding/json"
-	"io"
 	"net/http"
 	"sort"
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/hibiscuspulley/hibiscuspulley/internal/config"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/connlimit"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/grouping"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/membership"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/permit"
+	"github.com/hibiscuspulley/hibiscuspulley/pkg/caller"
 	"github.com/hibiscuspulley/hibiscuspulley/pkg/operator"
 	"github.com/hibiscuspulley/hibiscuspulley/pkg/platform"
 )
 
 const (
 	maxChangeBytes = 1 << 20
-	revisionPath   = "/revision"
+	// changeCopies is how many times its size a parsed change takes: a list of short
+	// names takes 24 bytes for each, in slices that grow, for two representations.
+	changeCopies = 16
+	revisionPath = "/revision"
 	// confirmTimeout bounds one request to an entry for its revision or its burn
 	// report.
 	confirmTimeout = 2 * time.Second
@@ -42,6 +48,10 @@
 	metrics    *metrics
 	burn       *burnCollector
 	ready      func() bool
+	// clients bounds the memory of requests.
+	clients *connlimit.Limiter
+	// bodyTimeout limits the time to read a request body.
+	bodyTimeout time.Duration
 }
 
 // handler returns the handler of the operator listener.
@@ -112,7 +122,15 @@
 }
 
 func (a *operatorAPI) serveChange(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxChangeBytes))
+	memory := &clientMemory{limiter: a.clients, ctx: r.Context()}
+	defer memory.release()
+	body, err := a.readChange(w, r, memory)
+	if errors.Is(err, connlimit.ErrNoMemory) {
+		w.Header().Set(caller.RunHeader, string(caller.NotRun))
+		w.Header().Set("Retry-After", strconv.Itoa(int(retryAfter.Seconds())))
+		writeProblem(w, http.StatusServiceUnavailable, "the entry has no memory for the request now; the change was not made; send it again later")
+		return
+	}
 	if err != nil {
 		writeProblem(w, http.StatusBadRequest, "the request body could not be read completely")
 		return
@@ -141,6 +159,25 @@
 	}
 }
 
+// readChange reads the body of a change, for a limited time. It reserves the memory of
+// the body and of what is parsed from it.
+func (a *operatorAPI) readChange(w http.ResponseWriter, r *http.Request, memory *clientMemory) ([]byte, error) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(a.bodyTimeout))
+	body, reserved, err := a.clients.ReadRequest(r.Context(), http.MaxBytesReader(w, r.Body, maxChangeBytes), r.ContentLength)
+	memory.held += reserved
+	if err == nil {
+		err = memory.reserve(changeCopies * int64(len(body)))
+	}
+	if err != nil {
+		// The deadline stays set, see callerAPI.readBody.
+		w.Header().Set("Connection", "close")
+		return nil, err
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	return body, nil
+}
+
 func writeValidationProblem(w http.ResponseWriter, problems []config.Problem) {
 	p := &operator.Problem{Message: "the change is not valid"}
 	for _, problem := range problems {
--- a/internal/entry/plain_api.go
+++ b/internal/entry/plain_api.go
@@ -19,7 +19,9 @@
 	// is unread, so the default request timeout limits the call.
 	ctx, cancel := context.WithTimeout(r.Context(), a.config.State().Defaults().RequestTimeout)
 	defer cancel()
-	reply, callerErr := a.plainReply(r.WithContext(ctx))
+	memory := &clientMemory{limiter: a.clients, ctx: ctx}
+	defer memory.release()
+	reply, callerErr := a.plainReply(r.WithContext(ctx), memory)
 	if callerErr != nil {
 		a.metrics.recordRejection(callerErr)
 		a.metrics.recordPlainCall(callerErr.Run)
@@ -39,10 +41,23 @@
 	}
 }
 
+// plainCallMemory returns the memory that a call takes at most: the buffers that copy its
+// body and its response, and the start of its body, which is kept for a retry in a
+// buffer that grows by doubling.
+func plainCallMemory(length int64) int64 {
+	if length == 0 {
+		return copyBufferBytes
+	}
+	if length < 0 || length > maxReplayBytes {
+		length = maxReplayBytes
+	}
+	return 2*copyBufferBytes + 2*length
+}
+
 // plainReply authenticates and admits a call and sends it to a backend server. The
 // call counts as in flight for the organisation only until the response header has
 // arrived. The caller of plainReply closes the response body.
-func (a *callerAPI) plainReply(r *http.Request) (*http.Response, *caller.Error) {
+func (a *callerAPI) plainReply(r *http.Request, memory *clientMemory) (*http.Response, *caller.Error) {
 	state := a.config.State()
 	organisation, callerErr := authenticate(state, r)
 	if callerErr != nil {
@@ -58,6 +73,9 @@
 			Message: "unknown plain service " + r.PathValue("name"),
 		}
 	}
+	if memory.reserve(plainCallMemory(r.ContentLength)) != nil {
+		return nil, noMemory()
+	}
 	if callerErr := a.router.beginRequest(organisation.Name); callerErr != nil {
 		return nil, callerErr
 	}
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -192,22 +191,20 @@
 	}
 }
 
-// newBufferedSink returns a sink that collects the response and sends it as one
-// JSON object at the end.
+// newBufferedSink returns a sink that sends the response as one JSON object at the end.
+// The generation collects the text.
 func newBufferedSink(w http.ResponseWriter) sink {
-	var text strings.Builder
 	finish := ""
 	return sink{
 		open: func() {},
 		event: func(_ []byte, c chunk) error {
-			text.WriteString(c.text)
 			if c.finishReason != "" {
 				finish = c.finishReason
 			}
 			return nil
 		},
 		flush:   func() error { return nil },
-		end:     func(g *generation) error { return writeCompletion(w, g, text.String(), finish) },
+		end:     func(g *generation) error { return writeCompletion(w, g, g.text.String(), finish) },
 		started: func() bool { return false },
 		fail:    func(*caller.Error) {},
 		close:   func() {},
--- a/internal/processfleet/fleet.go
+++ b/internal/processfleet/fleet.go
@@ -17,9 +17,10 @@
 )
 
 const (
-	// OperatorKey and PeerKey are the keys of the entries' other listeners.
+	// OperatorKey is the key of the operators' listeners.
 	OperatorKey = "operator-key-of-the-process-fleet"
-	PeerKey     = "peer-key-of-the-process-fleet"
+	// PeerKey is the key of the listeners for peers.
+	PeerKey = "peer-key-of-the-process-fleet"
 	// CallerKey is the bearer key of the fleet's only organisation.
 	CallerKey = "caller-key-of-the-process-fleet"
 	// Model is the name of the fleet's model service.
