--- a/internal/connlimit/body.go
+++ b/internal/connlimit/body.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 )
 
 const (
@@ -47,6 +48,10 @@
 	if err := reserve(length); err != nil {
 		return nil, reserved, err
 	}
+	// A body of unknown length is read in parts that double what there is, and are joined
+	// at its end. One buffer that grows in the same way would be in memory twice while it
+	// is copied, also for clients that never send the end.
+	var parts [][]byte
 	size := int64(freeBodyBytes)
 	if length >= 0 {
 		size = min(length+1, firstBodyBytes) // with room for the reader to report the end
@@ -55,6 +60,9 @@
 	for {
 		n, err := body.Read(content[len(content):cap(content)])
 		content = content[:len(content)+n]
+		if err == io.EOF && parts != nil {
+			return slices.Concat(append(parts, content)...), reserved, nil
+		}
 		if err == io.EOF {
 			return content, reserved, nil
 		}
@@ -64,13 +72,16 @@
 		if len(content) < cap(content) {
 			continue
 		}
-		size := 2 * int64(cap(content))
 		if length >= int64(len(content)) {
 			size = length + 1
+			content = append(make([]byte, 0, size), content...)
+			continue
 		}
+		size *= 2
 		if err := reserve(size); err != nil {
 			return nil, reserved, err
 		}
-		content = append(make([]byte, 0, size), content...)
+		parts = append(parts, content)
+		content = make([]byte, 0, size/2)
 	}
 }
--- a/internal/entry/model_body.go
+++ b/internal/entry/model_body.go
@@ -1,9 +1,9 @@
 package entry
 
 import (
+	"bytes"
 	"encoding/json"
 	"strconv"
-	"strings"
 )
 
 type partialMessageWire struct {
@@ -48,7 +48,7 @@
 	}
 	kept := func(yield func(name, value []byte)) {
 		for name, value := range jsonMembers(m.original) {
-			if !replaced[decodeName(name)] {
+			if !replaced[string(decodeName(name))] {
 				yield(name, value)
 			}
 		}
@@ -73,15 +73,22 @@
 	return body
 }
 
-// decodeName returns the name of a member. A name longer than any that is replaced is
-// not decoded.
-func decodeName(name []byte) string {
+// decodeName returns the name of a member. It decodes no name that is longer than all
+// names that are replaced, and copies only names with escapes, since a body may have
+// many members.
+func decodeName(name []byte) []byte {
 	const longest = 200
+	if len(name) > longest {
+		return nil
+	}
+	if !bytes.Contains(name, []byte{'\\'}) {
+		return name[1 : len(name)-1]
+	}
 	decoded := ""
-	if len(name) > longest || json.Unmarshal(name, &decoded) != nil {
-		return ""
+	if json.Unmarshal(name, &decoded) != nil {
+		return nil
 	}
-	return decoded
+	return []byte(decoded)
 }
 
 // continueAfter returns the fields that make the engine continue after the delivered
@@ -113,7 +120,7 @@
 func (m *modelRequest) field(wanted string) []byte {
 	var found []byte
 	for name, value := range jsonMembers(m.original) {
-		if strings.EqualFold(decodeName(name), wanted) {
+		if bytes.EqualFold(decodeName(name), []byte(wanted)) {
 			found = value
 		}
 	}
