--- a/internal/entry/model_body.go
+++ b/internal/entry/model_body.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"slices"
 	"strconv"
 )
 
@@ -37,10 +38,8 @@
 // rewrite returns the original body with other fields. It copies the body once, since
 // bodies are large.
 func (m *modelRequest) rewrite(fields []bodyField) []byte {
-	replaced := make(map[string]bool)
 	size := len("{}")
 	for _, f := range fields {
-		replaced[f.name] = true
 		size += len(f.name) + len(`"":,`)
 		for _, part := range f.parts {
 			size += len(part)
@@ -48,7 +47,10 @@
 	}
 	kept := func(yield func(name, value []byte)) {
 		for name, value := range jsonMembers(m.original) {
-			if !replaced[string(decodeName(name))] {
+			decoded := decodeName(name)
+			// encoding/json ignores the case of names, so the entry has read this field.
+			replaced := func(f bodyField) bool { return bytes.EqualFold(decoded, []byte(f.name)) }
+			if !slices.ContainsFunc(fields, replaced) {
 				yield(name, value)
 			}
 		}
--- a/internal/entry/operator_api.go
+++ b/internal/entry/operator_api.go
@@ -164,8 +164,7 @@
 func (a *operatorAPI) readChange(w http.ResponseWriter, r *http.Request, memory *clientMemory) ([]byte, error) {
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(a.bodyTimeout))
-	body, reserved, err := a.clients.ReadRequest(r.Context(), http.MaxBytesReader(w, r.Body, maxChangeBytes), r.ContentLength)
-	memory.held += reserved
+	body, err := memory.readBody(w, r, maxChangeBytes)
 	if err == nil {
 		err = memory.reserve(changeCopies * int64(len(body)))
 	}
--- a/internal/entry/request_body.go
+++ b/internal/entry/request_body.go
@@ -18,17 +18,15 @@
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(a.limits.BodyTimeout))
 	limit := int64(a.limits.BodyBytes)
-	err := error(nil)
+	var body []byte
+	var err error
 	if r.ContentLength <= limit {
 		// What is known in advance is reserved before the body is read, so that requests
 		// don't wait for one another half-way.
 		err = memory.reserve(r.ContentLength)
 	}
-	var body []byte
 	if err == nil {
-		var reserved int64
-		body, reserved, err = a.clients.ReadRequest(r.Context(), http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
-		memory.held += reserved
+		body, err = memory.readBody(w, r, limit)
 	}
 	if err == nil && r.ContentLength < 0 {
 		err = memory.reserve(int64(len(body)))
@@ -43,6 +41,17 @@
 	return nil, bodyError(err)
 }
 
+// readBody reads a body of up to limit bytes and reserves its memory. The error is a
+// *http.MaxBytesError for a larger one.
+func (m *clientMemory) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	if r.ContentLength > limit {
+		return nil, &http.MaxBytesError{Limit: limit}
+	}
+	body, reserved, err := m.limiter.ReadRequest(m.ctx, http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
+	m.held += reserved
+	return body, err
+}
+
 // bodyError returns the error for a request body that can't be read.
 func bodyError(err error) *caller.Error {
 	var tooLarge *http.MaxBytesError
