--- a/internal/connlimit/tls.go
+++ b/internal/connlimit/tls.go
@@ -17,9 +17,9 @@
 	tlsBytes = 20 << 10
 	// freeSealedBytes is the size of the records that tlsBytes covers.
 	freeSealedBytes = 18 << 10
-	// sealedCopies is how many times TLS holds a message that spans several records,
-	// since its buffer grows by doubling.
-	sealedCopies = 2
+	// sealedCopies is how many times TLS holds a message that spans several records: its
+	// buffer grows by doubling, and the smaller one before is still in memory.
+	sealedCopies = 3
 )
 
 // sealedConn is the connection below TLS. It charges what TLS has read without
