--- a/internal/entry/client_limits.go
+++ b/internal/entry/client_limits.go
@@ -30,7 +30,7 @@
 
 // newClientLimits returns the limits of what clients can make the entry hold, and
 // publishes their counters. It sets the settings that are 0 to their defaults.
-func newClientLimits(s *settings.ClientLimits, m *metrics, logger *logrus.Logger) *connlimit.Limiter {
+func newClientLimits(s *settings.GatewayLimits, m *metrics, logger *logrus.Logger) *connlimit.Limiter {
 	s.SetDefaults()
 	l := connlimit.New(int64(clientShare*float64(s.MemoryBytes)), connlimit.WithOnEvict(func(e connlimit.Eviction) {
 		event.ClientCutOff.Log(logger, logrus.Fields{
--- a/internal/fleet/client_memory_test.go
+++ b/internal/fleet/client_memory_test.go
@@ -18,7 +18,7 @@
 // memory for them, and against refusals that don't say that the request has not run.
 func TestRequestWithoutMemoryIsRefused(t *testing.T) {
 	plan := oneZone()
-	plan.Limits.Clients = settings.ClientLimits{MemoryBytes: 2_000_000, Descriptors: 1024}
+	plan.Limits.Clients = settings.GatewayLimits{MemoryBytes: 2_000_000, Descriptors: 1024}
 	runWithFleet(t, plan, func(ctx context.Context, t *testing.T, f *fleet.Fleet) {
 		before := f.Counts().Requests
 		body := func(size int) string {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -42,7 +42,7 @@
 	// Bounds holds the limits that the operators guarantee to callers.
 	Bounds GatewayBounds
 	// Limits bounds what clients may make the entry hold.
-	Limits ClientLimits
+	Limits GatewayLimits
 	// LogLevel is the name of a logrus level.
 	LogLevel string
 }
@@ -65,8 +65,8 @@
 	RetrySlack float64
 }
 
-// ClientLimits bounds what clients may make an entry hold.
-type ClientLimits struct {
+// GatewayLimits bounds what clients may make an entry hold.
+type GatewayLimits struct {
 	// MemoryBytes is the memory of the entry's instance. 0 means the default.
 	MemoryBytes int64
 	// Descriptors is the number of files and connections that the process may have
@@ -75,7 +75,7 @@
 }
 
 // SetDefaults replaces the limits that are 0.
-func (l *ClientLimits) SetDefaults() {
+func (l *GatewayLimits) SetDefaults() {
 	if l.MemoryBytes == 0 {
 		l.MemoryBytes = defaultMemoryMB * megabyte
 	}
@@ -92,7 +92,7 @@
 // megabyte is the unit of memory-mb.
 const megabyte = 1_000_000
 
-// Bounds and default values of ClientLimits. The smallest instances have the default
+// Bounds and default values of GatewayLimits. The smallest instances have the default
 // values.
 const (
 	defaultMemoryMB    = 184
@@ -171,17 +171,17 @@
 	return b
 }
 
-func (r *reader) gatewayLimits(o *object) ClientLimits {
+func (r *reader) gatewayLimits(o *object) GatewayLimits {
 	l := r.clientLimits(o)
 	o.reportUnknown()
 	return l
 }
 
-func (r *reader) clientLimits(o *object) ClientLimits {
+func (r *reader) clientLimits(o *object) GatewayLimits {
 	memory := o.number("memory-mb", defaultMemoryMB)
 	if memory < minMemoryMB {
 		r.addFinding(o.members["memory-mb"].StartOffset, o.fullName("memory-mb")+" is out of range",
 			"write the megabytes of the instance, "+strconv.Itoa(minMemoryMB)+" or more")
 	}
-	return ClientLimits{MemoryBytes: int64(memory * megabyte), Descriptors: o.integer("descriptors", 0, minDescriptors)}
+	return GatewayLimits{MemoryBytes: int64(memory * megabyte), Descriptors: o.integer("descriptors", 0, minDescriptors)}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -74,7 +74,7 @@
 	// shutdown begins.
 	ShutdownTimeout time.Duration
 	// Clients bounds what clients of all listeners may make the entry hold together.
-	Clients ClientLimits
+	Clients GatewayLimits
 }
 
 // Grouping holds the settings of the planner of replica groups.
