--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -81,7 +81,7 @@
 	RetrySlack float64
 }
 
-// GatewayLimits bounds what clients may make the entry hold.
+// GatewayLimits bounds what clients may make an entry hold.
 type GatewayLimits struct {
 	// MemoryBytes is the memory of the entry's instance. 0 means the default.
 	MemoryBytes int64
@@ -193,12 +193,16 @@
 }
 
 func (r *reader) gatewayLimits(o *object) GatewayLimits {
+	l := r.clientLimits(o)
+	o.reportUnknown()
+	return l
+}
+
+func (r *reader) clientLimits(o *object) GatewayLimits {
 	memory := o.number("memory-mb", defaultMemoryMB)
 	if memory < minMemoryMB {
 		r.addFinding(o.members["memory-mb"].StartOffset, o.fullName("memory-mb")+" is out of range",
 			"write the megabytes of the instance, "+strconv.Itoa(minMemoryMB)+" or more")
 	}
-	l := GatewayLimits{MemoryBytes: int64(memory * megabyte), Descriptors: o.integer("descriptors", 0, minDescriptors)}
-	o.reportUnknown()
-	return l
+	return GatewayLimits{MemoryBytes: int64(memory * megabyte), Descriptors: o.integer("descriptors", 0, minDescriptors)}
 }
