--- a/internal/formation/demand.go
+++ b/internal/formation/demand.go
@@ -20,9 +20,10 @@
 	// must be able to serve than another for the plan to follow the demand, and to go
 	// on doing so. With less, fewer spares and changed groups cost more than they bring:
 	// at 1.75, one model's groups are at 1.3 of the utilisation that keeps its objective
-	// while those of another one are at 0.75 of it.
+	// while those of another one are at 0.75 of it. A burst of the other model's requests
+	// must not end the plan, so that is allowed to fall further.
 	skewedFrom  = 1.75
-	skewedUntil = 1.4
+	skewedUntil = 1.1
 )
 
 // Demand is the work that the requests of the zone bring.
