Order queues by urgency and reject what can't start in time

Where routes or organisations differ in priority, or streams have an objective, a queue orders by the organisation's priority, the route's, and whether the objective can still be met; then organisations share the tokens. One of 20 starts goes to a less urgent request that has waited for half of its time. Predictions count what goes before a request in this order.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -21,50 +21,88 @@
 	waiting []*Waiter
 }
 
+// flowKey identifies a flow. In a queue without ByUrgency, urgency is zero.
+type flowKey struct {
+	urgency      Urgency
+	organisation string
+}
+
 // Queue holds waiting requests and starts them in the order of weighted fair
-// queueing between organisations. It is safe for concurrent use.
+// queueing between organisations, or in the order of ByUrgency. It is safe for
+// concurrent use.
 type Queue struct {
-	limit int
+	limit     int
+	byUrgency bool
 
 	mu       sync.Mutex
-	flows    map[string]*flow
+	flows    map[flowKey]*flow
 	length   int
 	arrivals uint64
-	// virtualClock is the highest virtual time at which a request was started.
-	// An organisation that was idle continues from it, so idle time earns no
-	// credit.
-	virtualClock float64
+	// virtualClocks holds the highest virtual time at which a request of each urgency
+	// was started. An organisation that was idle continues from it, so idle time
+	// earns no credit.
+	virtualClocks map[Urgency]float64
+	// startsSinceTurn counts the starts since the last turn of a less urgent request,
+	// up to turnInterval.
+	startsSinceTurn int
 }
 
+// Option configures a Queue.
+type Option func(*Queue)
+
 // NewQueue returns an empty Queue for at most limit requests. Retries are
 // accepted beyond the limit, but count towards it.
-func NewQueue(limit int) *Queue {
-	return &Queue{limit: limit, flows: make(map[string]*flow)}
+func NewQueue(limit int, opts ...Option) *Queue {
+	q := &Queue{limit: limit, flows: make(map[flowKey]*flow), virtualClocks: make(map[Urgency]float64)}
+	for _, opt := range opts {
+		opt(q)
+	}
+	return q
 }
 
 // Push adds a waiter; the same waiter must not be added twice. Retries are
 // always accepted. If the queue is full, any other waiter replaces the last one
 // of the organisation with the most waiting requests. Push returns ErrFull if
 // the last one is a retry, or if that organisation does not have at least two
-// more waiting requests than the waiter's own.
+// more waiting requests than the waiter's own. With ByUrgency, the waiter replaces
+// the last one in the order that is no retry, and Push returns ErrFull if that is
+// the waiter itself.
 func (q *Queue) Push(w *Waiter) error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	f := q.flow(w.Organisation)
-	if q.length >= q.limit && !w.Retry && !q.evictFor(f) {
+	f := q.flow(q.key(w))
+	if q.length >= q.limit && !w.Retry && !q.makeRoom(w, f) {
 		return ErrFull
 	}
 	if len(f.waiting) == 0 {
-		f.virtualTime = max(f.virtualTime, q.virtualClock)
+		f.virtualTime = max(f.virtualTime, q.virtualClocks[q.key(w).urgency])
 	}
 	q.arrivals++
 	w.arrival = q.arrivals
 	f.waiting = append(f.waiting, w)
-	slices.SortStableFunc(f.waiting, compareWaiters)
+	if !q.byUrgency {
+		slices.SortStableFunc(f.waiting, compareWaiters)
+	}
 	q.length++
 	return nil
 }
 
+// makeRoom sheds a waiter for an arriving one. It reports whether it shed one.
+func (q *Queue) makeRoom(w *Waiter, f *flow) bool {
+	if q.byUrgency {
+		return q.shedLastFor(w)
+	}
+	return q.evictFor(f)
+}
+
+// key returns the key of the waiter's flow.
+func (q *Queue) key(w *Waiter) flowKey {
+	if q.byUrgency {
+		return flowKey{urgency: w.Urgency, organisation: w.Organisation}
+	}
+	return flowKey{organisation: w.Organisation}
+}
+
 // compareWaiters orders one organisation's waiters: retries first, then by
 // priority, then by arrival.
 func compareWaiters(a, b *Waiter) int {
@@ -80,12 +118,12 @@
 	}
 }
 
-// flow returns the organisation's flow, and adds an empty one if there is none.
-func (q *Queue) flow(organisation string) *flow {
-	f := q.flows[organisation]
+// flow returns the flow with the key, and adds an empty one if there is none.
+func (q *Queue) flow(key flowKey) *flow {
+	f := q.flows[key]
 	if f == nil {
-		f = &flow{virtualTime: q.virtualClock}
-		q.flows[organisation] = f
+		f = &flow{virtualTime: q.virtualClocks[key.urgency]}
+		q.flows[key] = f
 	}
 	return f
 }
@@ -104,14 +142,15 @@
 	if longest == arriving || len(arriving.waiting) >= last || longest.waiting[last].Retry {
 		return false
 	}
-	shed := longest.waiting[last]
-	shed.removed = true
-	shed.Shed()
-	longest.waiting = longest.waiting[:last]
-	q.length--
+	q.shed(longest.waiting[last])
 	return true
 }
 
+func (q *Queue) shed(w *Waiter) {
+	q.remove(w)
+	w.Shed()
+}
+
 // Remove removes a waiter from the queue, for example at its deadline. It has no
 // effect if the waiter was started, shed or removed, or if Push returned ErrFull
 // for it. The waiter must have been passed to Push before.
@@ -125,7 +164,7 @@
 	if w.removed {
 		return
 	}
-	f := q.flows[w.Organisation]
+	f := q.flows[q.key(w)]
 	i := slices.Index(f.waiting, w)
 	if i < 0 {
 		return
@@ -144,39 +183,52 @@
 	}
 }
 
-// startNext starts one request and charges its cost to its organisation. Of each
+func (q *Queue) startNext(now time.Time) bool {
+	if q.byUrgency {
+		return q.startMostUrgent(now)
+	}
+	return q.startFairly(now)
+}
+
+// startFairly starts one request and charges its cost to its organisation. Of each
 // flow only the first waiter that is not overdue is tried, in the order of virtual
 // time, and then the first overdue one. It reports whether one started.
-func (q *Queue) startNext(now time.Time) bool {
-	organisations := q.waitingByVirtualTime()
+func (q *Queue) startFairly(now time.Time) bool {
+	keys := q.waitingByVirtualTime()
 	for _, overdue := range []bool{false, true} {
-		for _, organisation := range organisations {
-			f := q.flows[organisation]
+		for _, key := range keys {
+			f := q.flows[key]
 			i := slices.IndexFunc(f.waiting, func(w *Waiter) bool { return w.overdue(now) == overdue })
 			if i < 0 || !f.waiting[i].TryStart(now) {
 				continue
 			}
-			w := f.waiting[i]
-			q.remove(w)
-			q.virtualClock = max(q.virtualClock, f.virtualTime)
-			f.virtualTime += w.Cost / float64(max(w.Weight, 1))
+			q.charge(f.waiting[i])
 			return true
 		}
 	}
 	return false
 }
 
-// waitingByVirtualTime returns the organisations with waiting requests, the one
-// with the least virtual time first. At equal virtual times, the one whose first
-// waiter arrived earlier comes first.
-func (q *Queue) waitingByVirtualTime() []string {
-	var names []string
-	for name, f := range q.flows {
+// charge removes a waiter that has started, and charges its cost to its flow.
+func (q *Queue) charge(w *Waiter) {
+	q.remove(w)
+	key := q.key(w)
+	f := q.flows[key]
+	q.virtualClocks[key.urgency] = max(q.virtualClocks[key.urgency], f.virtualTime)
+	f.virtualTime += w.virtualCost()
+}
+
+// waitingByVirtualTime returns the flows with waiting requests, the one with the
+// least virtual time first. At equal virtual times, the one whose first waiter
+// arrived earlier comes first.
+func (q *Queue) waitingByVirtualTime() []flowKey {
+	var keys []flowKey
+	for key, f := range q.flows {
 		if len(f.waiting) > 0 {
-			names = append(names, name)
+			keys = append(keys, key)
 		}
 	}
-	slices.SortFunc(names, func(a, b string) int {
+	slices.SortFunc(keys, func(a, b flowKey) int {
 		fa, fb := q.flows[a], q.flows[b]
 		switch {
 		case fa.virtualTime < fb.virtualTime:
@@ -187,15 +239,16 @@
 			return int(fa.waiting[0].arrival) - int(fb.waiting[0].arrival)
 		}
 	})
-	return names
+	return keys
 }
 
 // AdjustCharge charges further tokens to an organisation. They are negative if a
-// request cost less than was expected when it started.
+// request cost less than was expected when it started. It must not be used with
+// ByUrgency.
 func (q *Queue) AdjustCharge(organisation string, weight int, tokens float64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.flow(organisation).virtualTime += tokens / float64(max(weight, 1))
+	q.flow(flowKey{organisation: organisation}).virtualTime += tokens / float64(max(weight, 1))
 }
 
 // OnTime returns the number of waiting requests that are not overdue.
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -21,6 +20,8 @@
 	mu sync.Mutex
 	// dispatched are the times of the latest reservations, the oldest first.
 	dispatched []time.Time
+	// flow measures arrivals and reservations by urgency.
+	flow flow
 	// waiting counts the waiting requests by organisation.
 	waiting map[string]int
 }
@@ -79,6 +80,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.now()
+	q.flow.recordStart(now)
 	q.trimDispatched(now)
 	q.dispatched = append(q.dispatched, now)
 }
@@ -94,10 +96,11 @@
 
 // Queues holds one queue for each service and model.
 type Queues struct {
-	mu     sync.Mutex
-	queues map[queueKey]*Queue
-	now    func() time.Time
-	limit  int
+	mu        sync.Mutex
+	queues    map[queueKey]*Queue
+	now       func() time.Time
+	limit     int
+	byUrgency bool
 }
 
 type queueKey struct{ service, model string }
@@ -115,12 +118,37 @@
 	key := queueKey{service, model}
 	queue := s.queues[key]
 	if queue == nil {
-		queue = &Queue{waiters: admission.NewQueue(s.limit), now: s.now, waiting: make(map[string]int)}
+		var opts []admission.Option
+		if s.byUrgency {
+			opts = append(opts, admission.ByUrgency())
+		}
+		queue = &Queue{waiters: admission.NewQueue(s.limit, opts...), now: s.now, waiting: make(map[string]int)}
 		s.queues[key] = queue
 	}
 	return queue
 }
 
+// SetByUrgency sets whether the queues order requests by urgency, as
+// admission.ByUrgency describes, and reports whether that is a change. Requests that
+// wait already stay in their queue and its order until they start.
+func (s *Queues) SetByUrgency(byUrgency bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.byUrgency == byUrgency {
+		return false
+	}
+	s.byUrgency = byUrgency
+	clear(s.queues)
+	return true
+}
+
+// ByUrgency reports whether the queues order requests by urgency.
+func (s *Queues) ByUrgency() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.byUrgency
+}
+
 // Dispatch reserves servers for the waiting requests of every queue until no
 // further reservation succeeds.
 func (s *Queues) Dispatch() {
@@ -145,68 +173,3 @@
 
 // Length returns the number of waiting requests.
 func (q *Queue) Length() int { return q.waiters.Length() }
-
-// QueuedRequest holds the properties of a request that decide its position in
-// a Queue.
-type QueuedRequest struct {
-	Organisation string
-	Priority     int
-	// Cost is the request's expected size in tokens.
-	Cost float64
-	// Retry marks a further attempt of a request. It goes before the other
-	// requests of its organisation.
-	Retry bool
-	// DueAt is when the request must have been sent to meet its objective; zero if
-	// it has none. An overdue request goes behind those that are not.
-	DueAt time.Time
-}
-
-// Wait queues the request until reserve succeeds for it and returns that
-// reservation. It returns nil if the queue is full, if the request is shed in
-// favour of another organisation, or if ctx ends before a reservation is made.
-func (q *Queue) Wait(ctx context.Context, request QueuedRequest, reserve func(now time.Time) *Reservation) *Reservation {
-	reserved := make(chan *Reservation, 1)
-	shed := make(chan struct{})
-	w := &admission.Waiter{
-		Organisation: request.Organisation, Priority: request.Priority, Weight: 1, Cost: request.Cost, Retry: request.Retry,
-		DueAt: request.DueAt,
-		TryStart: func(now time.Time) bool {
-			r := reserve(now)
-			if r == nil {
-				return false
-			}
-			q.recordDispatch()
-			reserved <- r
-			return true
-		},
-		Shed: func() { close(shed) },
-	}
-	q.addWaiting(request.Organisation, 1)
-	defer q.addWaiting(request.Organisation, -1)
-	if q.waiters.Push(w) != nil {
-		return nil
-	}
-	q.waiters.Dispatch(q.now())
-	for {
-		timer := time.NewTimer(dispatchInterval)
-		select {
-		case r := <-reserved:
-			timer.Stop()
-			return r
-		case <-shed:
-			timer.Stop()
-			return nil
-		case <-timer.C:
-			q.Dispatch()
-		case <-ctx.Done():
-			timer.Stop()
-			q.waiters.Remove(w)
-			select {
-			case r := <-reserved:
-				return r
-			default:
-				return nil
-			}
-		}
-	}
-}
--- /dev/null
+++ b/internal/dispatch/wait_bounds.go
@@ -0,0 +1,41 @@
+package dispatch
+
+import "time"
+
+const (
+	// maxQueueShare is the largest fraction of the caller's remaining time that
+	// a request may spend in the queue, and maxQueueWait is the absolute limit.
+	// A stream that starts later is late anyway, and its caller disconnects
+	// after two seconds without an event.
+	maxQueueShare = 0.25
+	maxQueueWait  = 1200 * time.Millisecond
+	// callerPatience is after which time without an event callers disconnect.
+	callerPatience = 2 * time.Second
+	// maxRetryShare is the share of its remaining time that a caller waits at most. It
+	// ignores a longer Retry-After.
+	maxRetryShare = 1.0 / 3
+	// retryJitter is by which share a Retry-After is lengthened at most, so that
+	// rejected callers don't return at one moment.
+	retryJitter = 0.25
+)
+
+// MaxWait returns how long a request may wait in a queue if its caller still waits for
+// the remaining time.
+func MaxWait(remaining time.Duration) time.Duration {
+	return min(time.Duration(float64(remaining)*maxQueueShare), maxQueueWait)
+}
+
+// MaxWaitByUrgency returns how long a request with an objective may wait in a queue that
+// orders by urgency. It may wait until it must start to meet the objective, and then as
+// long as any other, but not so long that its caller disconnects before its first event.
+func MaxWaitByUrgency(remaining, untilDue, toFirstEvent time.Duration) time.Duration {
+	usual := MaxWait(remaining)
+	return max(usual, min(max(untilDue, 0)+usual, callerPatience-toFirstEvent))
+}
+
+// RetryAfter returns what to ask the caller of a rejected request to wait if a further
+// one is predicted to wait that long. random is uniform in [0, 1).
+func RetryAfter(wait, remaining time.Duration, random float64) time.Duration {
+	wait += time.Duration(random * retryJitter * float64(wait))
+	return max(min(wait, time.Duration(float64(remaining)*maxRetryShare)), time.Millisecond)
+}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -59,6 +59,8 @@
 	LimitsAllocated          = Event{417, logrus.InfoLevel, "entry that allocates the request limits of the zone's servers changed"}
 	ServerLeaving            = Event{418, logrus.InfoLevel, "backend server says that it leaves: it gets no new requests"}
 	ServerWaits              = Event{419, logrus.InfoLevel, "backend server has asked for time: it gets no requests meanwhile"}
+	QueueOrderChanged        = Event{428, logrus.InfoLevel, "order of the request queues changed"}
+	CallersReturnEarly       = Event{429, logrus.WarnLevel, "callers send rejected requests again before the time that they were asked to wait"}
 	AttemptBroken            = Event{504, logrus.WarnLevel, "attempt of a streamed response broke off; its server was probed"}
 	PartQuarantined          = Event{505, logrus.WarnLevel, "prompt part in quarantine: requests with it are rejected"}
 	PartReleased             = Event{506, logrus.InfoLevel, "prompt part released from quarantine"}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -16,15 +16,6 @@
 )
 
 const (
-	// maxQueueShare is the largest fraction of the caller's remaining time that
-	// a request may spend in the queue, and maxQueueWait is the absolute limit.
-	// A stream that starts later is late anyway, and its caller disconnects
-	// after two seconds without an event.
-	maxQueueShare = 0.25
-	maxQueueWait  = 1200 * time.Millisecond
-	// maxRetryAfter limits the Retry-After value, because callers wait at most
-	// a third of their remaining time.
-	maxRetryAfter = 1500 * time.Millisecond
 	// maxUnsentAttempts is the number of attempts that a request may make in
 	// addition to the route's maximum, because a server that could not be
 	// reached or that rejected the request does not count towards that maximum.
@@ -42,35 +33,37 @@
 // that. model is empty for plain requests.
 func (g *Gateway) reserve(ctx context.Context, c *call, model string, isRetry bool) *dispatch.Reservation {
 	requirements := dispatch.Requirements{Service: c.service, Model: model, Tried: c.tried}
-	wait := min(time.Duration(float64(time.Until(c.deadline))*maxQueueShare), maxQueueWait)
-	ctx, cancel := context.WithTimeout(ctx, wait)
+	queued := g.queuedRequest(c, model, isRetry)
+	ctx, cancel := context.WithTimeout(ctx, queued.MaxWait)
 	defer cancel()
-	queued := dispatch.QueuedRequest{Priority: c.priority(), Cost: c.cost(), Retry: isRetry}
-	if !isRetry {
-		queued.DueAt = c.dueAt(model)
-	}
-	if c.organisation != nil {
-		queued.Organisation = c.organisation.Name
-	}
 	queue := g.queues.Queue(c.service, model)
-	expected := max(queue.EstimateWait(queued.Organisation), g.limits.expectedWait(time.Now(), requirements, queued.Organisation))
-	if !isRetry && expected > wait {
-		c.retryAfter = min(expected, maxRetryAfter)
+	expected := g.expectedWait(c, queue, queued, requirements)
+	if !isRetry && expected > queued.MaxWait {
+		c.retryAfter = g.retryAfter(c, expected)
 		c.addNote("queue too long: expected wait " + expected.Round(time.Millisecond).String())
 		return nil
 	}
-	if closed := g.balancer.ClosedFor(time.Now(), requirements); closed > wait {
+	if closed := g.balancer.ClosedFor(time.Now(), requirements); closed > queued.MaxWait {
 		c.retryAfter = closed
 		c.addNote("all servers have asked for time: " + closed.Round(time.Millisecond).String())
 		return nil
 	}
 	started := time.Now()
 	g.limits.ask(ctx, requirements)
+	queued.ReserveAny = func(now time.Time) *dispatch.Reservation { return g.balancer.Reserve(now, requirements) }
 	res := queue.Wait(ctx, queued, func(now time.Time) *dispatch.Reservation {
-		requirements.Overdue = !queued.DueAt.IsZero() && now.After(queued.DueAt)
-		return g.balancer.Reserve(now, requirements)
+		r := requirements
+		r.Overdue = !queued.DueAt.IsZero() && now.After(queued.DueAt)
+		return g.balancer.Reserve(now, r)
 	})
 	g.metrics.waited.observe(time.Since(started))
+	if res == nil && g.queues.ByUrgency() {
+		if !queued.DueAt.IsZero() {
+			// What the caller sends again has its whole objective before it.
+			queued.DueAt = time.Now().Add(queued.DueAt.Sub(c.started))
+		}
+		c.retryAfter = g.retryAfter(c, g.expectedWait(c, queue, queued, requirements))
+	}
 	return res
 }
 
@@ -132,7 +125,7 @@
 	request := c.request
 	request.Header = maps.Clone(c.request.Header)
 	f := ForwardInfo{
-		Server: res.Server.ID, Timeout: time.Until(c.deadline), Priority: c.priority(), LastEventID: lastEventID,
+		Server: res.Server.ID, Timeout: time.Until(c.deadline), Priority: g.toldPriority(c), LastEventID: lastEventID,
 	}
 	if c.organisation != nil {
 		f.Organisation = c.organisation.Name
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/hibiscuspulley/hibiscuspulley/internal/admission"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/backend"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/connlimit"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/dispatch"
@@ -105,6 +106,8 @@
 	crashes   *crashDetector
 	isolation *isolation
 	limits    *limits
+	// returns holds when rejected callers may return.
+	returns *admission.Returns
 	// clients bounds what callers and other clients can make the entry hold.
 	clients *connlimit.Limiter
 	// peers exchanges in-flight loads with the other entries.
@@ -131,6 +134,9 @@
 
 	mu      sync.Mutex
 	budgets map[string]*retry.SlidingWindow
+	// earlyLoggedAt is when early returns of an organisation's callers were last
+	// logged.
+	earlyLoggedAt map[string]time.Time
 }
 
 // New starts an entry instance, which runs until Shutdown is called. It returns
@@ -146,7 +152,8 @@
 		options:  o,
 		platform: p, logger: logger, metrics: newMetrics(),
 		queues: dispatch.NewQueues(maxQueueLength, time.Now),
-		pool:   backend.NewPool(poolOptions...), budgets: make(map[string]*retry.SlidingWindow),
+		pool:   backend.NewPool(poolOptions...), returns: admission.NewReturns(), budgets: make(map[string]*retry.SlidingWindow),
+		earlyLoggedAt: make(map[string]time.Time),
 	}
 	g.clients = newClientLimits(&s.Limits, g.metrics, logger)
 	g.limits = newLimits(g)
@@ -167,7 +174,7 @@
 	})
 	g.configCache = &configCache{
 		platform: p, logger: logger,
-		onTable:     func(t *routes.Table) { g.balancer.SetTable(t); g.queues.Dispatch() },
+		onTable:     func(t *routes.Table) { g.balancer.SetTable(t); g.orderQueues(t); g.queues.Dispatch() },
 		onEvacuated: func(evacuated map[string]bool) { g.balancer.SetExcludedZones(evacuated); g.queues.Dispatch() },
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -73,9 +73,16 @@
 	// and invalid headers. It is logged with the request's outcome.
 	attemptNotes []string
 	// retryAfter is the estimated wait of a request that was rejected because
-	// its queue is too long, at most maxRetryAfter, or after which the first server
+	// its queue is too long, as Gateway.retryAfter limits it, or after which the first server
 	// takes requests again. Otherwise it is 0.
 	retryAfter time.Duration
+	// early is set if the caller has sent the request again before the time that it
+	// was asked to wait.
+	early bool
+	// prediction is the last prediction of the request's wait, and predicted tells
+	// whether there is one.
+	prediction dispatch.Prediction
+	predicted  bool
 	// lastResume is the value of sent when a resume was last logged. It limits
 	// the log to one resume per attempt.
 	lastResume int
@@ -153,6 +160,7 @@
 	}
 	c.request = backend.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Body: body}
 	removeHopByHop(c.request.Header)
+	g.observeReturn(c)
 	return true
 }
 
@@ -233,6 +241,7 @@
 // Retry-After header.
 func (g *Gateway) reject(w http.ResponseWriter, c *call, status int, retryAfter time.Duration, reason string) {
 	g.metrics.status(status)
+	g.recordRejection(c, status, retryAfter)
 	if retryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
@@ -263,6 +272,7 @@
 	}
 	if c.route != nil && c.sent == 0 && status == http.StatusServiceUnavailable {
 		g.addCapacity(fields, c)
+		c.addPrediction(fields)
 	}
 	if reason != "" {
 		fields["reason"] = reason
--- a/internal/gateway/limit_demand.go
+++ b/internal/gateway/limit_demand.go
@@ -118,12 +118,12 @@
 	}
 }
 
-// expectedWait returns how long a further request of an organisation will wait for a
-// grant, if all servers that could take it have limits. Grants go to entries by what
-// waits there, and an organisation without waiting requests gets the entry's next one.
-// The wait is 0 if other servers could take the request, or if the lead has not told
+// expectedWait returns how long a further request will wait for a grant, if all servers
+// that could take it have limits. Grants go to entries by what waits there, and an
+// organisation without waiting requests gets the entry's next one, unless the queue
+// orders by urgency. The wait is 0 if other servers could take the request, or if the lead has not told
 // its backlog lately.
-func (l *limits) expectedWait(now time.Time, r dispatch.Requirements, organisation string) time.Duration {
+func (l *limits) expectedWait(now time.Time, r dispatch.Requirements, queued dispatch.QueuedRequest) time.Duration {
 	if l.book.Limited() == 0 || !l.gateway.balancer.AllLimited(r) {
 		return 0
 	}
@@ -133,11 +133,15 @@
 	if now.Sub(b.toldAt) > backlogTTL {
 		return 0
 	}
-	queue, turns := l.gateway.queues.Queue(r.Service, r.Model), 1
-	if !queue.HasWaiting(organisation) {
-		turns = max(queue.Length(), 1)
+	queue := l.gateway.queues.Queue(r.Service, r.Model)
+	length, ahead := max(queue.Length(), 1), 0
+	switch {
+	case l.gateway.queues.ByUrgency():
+		ahead = min(queue.Ahead(queued), length-1)
+	case queue.HasWaiting(queued.Organisation):
+		ahead = length - 1
 	}
-	return time.Duration(float64(b.Wait) * backlogGrowth / float64(turns))
+	return time.Duration(float64(b.Wait) * backlogGrowth * float64(ahead+1) / float64(length))
 }
 
 func (l *limits) storeBacklogs(now time.Time, backlogs []quota.Backlog) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -31,12 +31,18 @@
 	// that is logged as served.
 	waited, first, served histogram
 
+	// earlyReturns counts the requests that callers sent again too early.
+	earlyReturns expvar.Int
+
 	mu       sync.Mutex
 	statuses map[int]*expvar.Int
+	// rejections counts the requests that were rejected without having run, by the
+	// priority that servers would have been told.
+	rejections map[int]*expvar.Int
 }
 
 func newMetrics() *metrics {
-	m := &metrics{vars: new(expvar.Map).Init(), statuses: make(map[int]*expvar.Int)}
+	m := &metrics{vars: new(expvar.Map).Init(), statuses: make(map[int]*expvar.Int), rejections: make(map[int]*expvar.Int)}
 	m.vars.Set("requests", &m.requests)
 	m.vars.Set("streams-resumed", &m.resumed)
 	m.vars.Set("streams-cut", &m.cut)
@@ -50,19 +56,26 @@
 	m.vars.Set("quarantine-rejections", &m.heldBack)
 	m.vars.Set("limited-sends", &m.limitedSends)
 	m.vars.Set("limit-grants", &m.limitGrants)
+	m.vars.Set("early-returns", &m.earlyReturns)
 	return m
 }
 
 // status counts a final response by its status. The counter's name is
 // "answers-" and the status.
-func (m *metrics) status(status int) {
+func (m *metrics) status(status int) { m.count(m.statuses, "answers-", status) }
+
+// rejected counts a rejection by priority. The counter's name is
+// "rejections-priority-" and the priority.
+func (m *metrics) rejected(priority int) { m.count(m.rejections, "rejections-priority-", priority) }
+
+func (m *metrics) count(counters map[int]*expvar.Int, name string, key int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	n := m.statuses[status]
+	n := counters[key]
 	if n == nil {
 		n = new(expvar.Int)
-		m.statuses[status] = n
-		m.vars.Set("answers-"+strconv.Itoa(status), n)
+		counters[key] = n
+		m.vars.Set(name+strconv.Itoa(key), n)
 	}
 	n.Add(1)
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -79,7 +79,7 @@
 		g.logOutcome(c, 0, "the caller disconnected")
 		panic(http.ErrAbortHandler)
 	case c.sent == 0:
-		g.reject(w, c, http.StatusServiceUnavailable, max(c.retryAfter, busyRetryAfter), "no server accepted the request")
+		g.reject(w, c, http.StatusServiceUnavailable, g.finalRetryAfter(c), "no server accepted the request")
 	case ctx.Err() != nil:
 		g.reject(w, c, http.StatusGatewayTimeout, 0, "timed out waiting for the response; the request may have run")
 	default:
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -133,7 +133,7 @@
 	case s.errorResponse != nil:
 		g.deliver(s.w, c, s.errorResponse)
 	case c.sent == 0:
-		g.reject(s.w, c, http.StatusServiceUnavailable, max(c.retryAfter, busyRetryAfter), "no replica group accepted the request")
+		g.reject(s.w, c, http.StatusServiceUnavailable, g.finalRetryAfter(c), "no replica group accepted the request")
 	case ctx.Err() != nil:
 		g.reject(s.w, c, http.StatusGatewayTimeout, 0, "timed out waiting for an event; the request may have run")
 	default:
