--- a/internal/admission/urgency.go
+++ b/internal/admission/urgency.go
@@ -199,18 +199,31 @@
 	q.startsSinceTurn = min(q.startsSinceTurn+1, turnInterval-1)
 }
 
-// nextTurn returns the waiter that gets the next turn of less urgent ones, or nil.
+// nextTurn returns the waiter that gets the next turn of less urgent ones, or nil: the
+// longest waiting of those that have waited for half of their time. One that can still
+// meet its objective has until then, and goes before one that can't.
 func nextTurn(now time.Time, places []place) *Waiter {
-	var next *Waiter
-	for _, p := range places {
-		if p.Urgency == places[0].Urgency || p.Early || p.MaxWait <= 0 || now.Sub(p.QueuedAt) < p.MaxWait/2 {
+	var next *place
+	for i, p := range places {
+		allowed := p.MaxWait
+		if !p.overdue {
+			allowed = p.latestStart().Sub(p.QueuedAt)
+		}
+		if p.Urgency == places[0].Urgency || p.Early || allowed <= 0 || now.Sub(p.QueuedAt) < allowed/2 {
 			continue
 		}
-		if next == nil || p.QueuedAt.Before(next.QueuedAt) {
-			next = p.Waiter
+		if next == nil || compareTurns(p, *next) < 0 {
+			next = &places[i]
 		}
 	}
-	return next
+	if next == nil {
+		return nil
+	}
+	return next.Waiter
+}
+
+func compareTurns(a, b place) int {
+	return cmp.Or(compareBools(a.overdue, b.overdue), a.QueuedAt.Compare(b.QueuedAt))
 }
 
 // Ahead describes what goes before a request in a queue with ByUrgency.
@@ -253,7 +266,7 @@
 		case p.overdue && p.Urgency.Compare(w.Urgency) <= 0:
 			a.Overdue++
 		}
-		if p.Urgency != first && !p.Early {
+		if p.Urgency != first && !p.Early && (!p.overdue || w.overdue(now)) {
 			a.StartsToTurn += turnInterval
 		}
 	}
--- a/internal/dispatch/prediction.go
+++ b/internal/dispatch/prediction.go
@@ -15,12 +15,19 @@
 	// minFreeShare is the least share of the starts that is assumed to be left to
 	// requests that others go before. Their turns give them as much.
 	minFreeShare = 1.0 / 20
+	// maxLateShare is the largest share of a queue's starts in flowWindow that requests
+	// may have which lost their objective while they waited. Without it, the entries
+	// fill each slot that becomes free with several of them before they know of each
+	// other, and those that arrive then are late too.
+	maxLateShare = 0.1
 )
 
 // flow records the latest arrivals and starts of a queue, the oldest first.
 type flow struct {
 	arrivals []arrival
 	starts   []time.Time
+	// lateStarts are those of requests that lost their objective while they waited.
+	lateStarts []time.Time
 }
 
 type arrival struct {
@@ -28,15 +35,21 @@
 	urgency admission.Urgency
 }
 
-func (f *flow) recordStart(now time.Time) {
+func (f *flow) recordStart(now time.Time, late bool) {
 	f.trim(now)
 	f.starts = append(f.starts, now)
+	if late {
+		f.lateStarts = append(f.lateStarts, now)
+	}
 }
 
 func (f *flow) trim(now time.Time) {
 	for len(f.starts) > 0 && now.Sub(f.starts[0]) > flowWindow {
 		f.starts = f.starts[1:]
 	}
+	for len(f.lateStarts) > 0 && now.Sub(f.lateStarts[0]) > flowWindow {
+		f.lateStarts = f.lateStarts[1:]
+	}
 	for len(f.arrivals) > 0 && now.Sub(f.arrivals[0].at) > flowWindow {
 		f.arrivals = f.arrivals[1:]
 	}
@@ -46,17 +59,35 @@
 // rateWindow and of flowWindow, so that a short pause does not count as a loss of
 // capacity. It is 0 if there was none in rateWindow.
 func (f *flow) startRate(now time.Time) float64 {
-	latest := 0
-	for _, at := range slices.Backward(f.starts) {
+	latest := countSince(f.starts, now)
+	if latest == 0 {
+		return 0
+	}
+	return max(float64(latest)/rateWindow.Seconds(), float64(len(f.starts))/flowWindow.Seconds())
+}
+
+// countSince returns how many of the times are within rateWindow.
+func countSince(times []time.Time, now time.Time) int {
+	n := 0
+	for _, at := range slices.Backward(times) {
 		if now.Sub(at) > rateWindow {
 			break
 		}
-		latest++
+		n++
 	}
-	if latest == 0 {
-		return 0
+	return n
+}
+
+// mayStartLate reports whether a request that lost its objective while it waited may
+// start now. In a queue that does not order by urgency it always may.
+func (q *Queue) mayStartLate(now time.Time) bool {
+	if !q.byUrgency {
+		return true
 	}
-	return max(float64(latest)/rateWindow.Seconds(), float64(len(f.starts))/flowWindow.Seconds())
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.flow.trim(now)
+	return float64(len(q.flow.lateStarts)) < max(maxLateShare*float64(len(q.flow.starts)), 1)
 }
 
 // arrivalRate returns the arrivals per second in the last rateWindow of the urgencies
@@ -96,10 +127,10 @@
 
 // Predict predicts the wait of a further request of a queue that orders by urgency. It
 // divides the requests that go before it by the starts per second that the more urgent
-// arrivals leave. A request that will be late goes behind those of its urgency that
-// will not be, so it gets what these leave too. A less urgent request waits no longer
-// than until its turn. If nothing was started for a second, fallback is used as the
-// rate of starts, but at least 1.
+// arrivals leave. A less urgent request waits no longer than until its turn. If it will
+// be late, it goes behind those of its urgency that will not be, and gets what these
+// leave. If nothing was started for a second, the rate of fallback is used, but at
+// least 1.
 func (q *Queue) Predict(r QueuedRequest, fallback func() float64) Prediction {
 	now := q.now()
 	w := r.waiter(now)
@@ -114,16 +145,24 @@
 	left := func(goesBefore func(admission.Urgency) bool) float64 {
 		return max(p.StartRate-q.flow.arrivalRate(now, goesBefore), p.StartRate*minFreeShare)
 	}
-	if ahead.Total() >= minEstimateLength {
-		p.Wait = seconds(float64(ahead.Total()) / left(func(u admission.Urgency) bool { return u.Compare(r.Urgency) < 0 }))
+	hopeless := !r.DueAt.IsZero() && !now.Before(r.DueAt)
+	before, allowed := ahead.Total(), r.MaxWait
+	switch {
+	case hopeless:
+		before += ahead.Overdue
+	case !r.DueAt.IsZero():
+		allowed = r.DueAt.Sub(now)
+	}
+	if before >= minEstimateLength {
+		p.Wait = seconds(float64(before) / left(func(u admission.Urgency) bool { return u.Compare(r.Urgency) < 0 }))
 	}
-	if untilDue := r.DueAt.Sub(now); !r.DueAt.IsZero() && p.Wait > max(untilDue, 0) {
-		p.Late = true
-		rate := left(func(u admission.Urgency) bool { return u.Compare(r.Urgency) <= 0 })
-		p.Wait = max(p.Wait, max(untilDue, 0)+seconds(float64(ahead.Overdue+1)/rate))
+	if turn := max(allowed/2, seconds(float64(ahead.StartsToTurn)/p.StartRate)); ahead.LessUrgent && !r.Early && turn <= allowed {
+		p.Wait = min(p.Wait, turn)
 	}
-	if ahead.LessUrgent && !r.Early {
-		p.Wait = min(p.Wait, max(r.MaxWait/2, seconds(float64(ahead.StartsToTurn)/p.StartRate)))
+	p.Late = hopeless || p.Wait > allowed
+	if !hopeless && !r.DueAt.IsZero() && p.Late {
+		rate := min(left(func(u admission.Urgency) bool { return u.Compare(r.Urgency) <= 0 }), p.StartRate*maxLateShare)
+		p.Wait = max(p.Wait, allowed+seconds(float64(ahead.Overdue+1)/rate))
 	}
 	return p
 }
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -14,8 +14,9 @@
 // Queue holds the requests for one service and model that wait for a
 // reservation.
 type Queue struct {
-	waiters *admission.Queue
-	now     func() time.Time
+	waiters   *admission.Queue
+	now       func() time.Time
+	byUrgency bool
 
 	mu sync.Mutex
 	// dispatched are the times of the latest reservations, the oldest first.
@@ -76,11 +77,11 @@
 	return len(q.dispatched)
 }
 
-func (q *Queue) recordDispatch() {
+func (q *Queue) recordDispatch(late bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.now()
-	q.flow.recordStart(now)
+	q.flow.recordStart(now, late)
 	q.trimDispatched(now)
 	q.dispatched = append(q.dispatched, now)
 }
@@ -122,7 +123,7 @@
 		if s.byUrgency {
 			opts = append(opts, admission.ByUrgency())
 		}
-		queue = &Queue{waiters: admission.NewQueue(s.limit, opts...), now: s.now, waiting: make(map[string]int)}
+		queue = &Queue{waiters: admission.NewQueue(s.limit, opts...), now: s.now, byUrgency: s.byUrgency, waiting: make(map[string]int)}
 		s.queues[key] = queue
 	}
 	return queue
--- a/internal/dispatch/queue_wait.go
+++ b/internal/dispatch/queue_wait.go
@@ -42,27 +42,35 @@
 	}
 }
 
+// lost reports whether the request could still meet its objective when it began to
+// wait, but can't any more.
+func (r *QueuedRequest) lost(queuedAt, now time.Time) bool {
+	return queuedAt.Before(r.DueAt) && now.After(r.DueAt)
+}
+
 // Wait queues the request until reserve succeeds for it and returns that
 // reservation. It returns nil if the queue is full, if the request is shed in
 // favour of another one, or if ctx ends before a reservation is made.
 func (q *Queue) Wait(ctx context.Context, request QueuedRequest, reserve func(now time.Time) *Reservation) *Reservation {
 	reserved := make(chan *Reservation, 1)
 	shed := make(chan struct{})
-	start := func(reserve func(now time.Time) *Reservation) func(now time.Time) bool {
-		return func(now time.Time) bool {
-			r := reserve(now)
-			if r == nil {
-				return false
-			}
-			q.recordDispatch()
-			reserved <- r
-			return true
+	w := request.waiter(q.now())
+	w.Shed = func() { close(shed) }
+	start := func(now time.Time, late bool, reserve func(now time.Time) *Reservation) bool {
+		if late && !q.mayStartLate(now) {
+			return false
+		}
+		r := reserve(now)
+		if r == nil {
+			return false
 		}
+		q.recordDispatch(late)
+		reserved <- r
+		return true
 	}
-	w := request.waiter(q.now())
-	w.TryStart, w.Shed = start(reserve), func() { close(shed) }
+	w.TryStart = func(now time.Time) bool { return start(now, request.lost(w.QueuedAt, now), reserve) }
 	if request.ReserveAny != nil {
-		w.TryStartOnReserve = start(request.ReserveAny)
+		w.TryStartOnReserve = func(now time.Time) bool { return start(now, false, request.ReserveAny) }
 	}
 	q.recordArrival(request.Urgency)
 	q.addWaiting(request.Organisation, 1)
--- a/internal/dispatch/wait_bounds.go
+++ b/internal/dispatch/wait_bounds.go
@@ -9,8 +9,6 @@
 	// after two seconds without an event.
 	maxQueueShare = 0.25
 	maxQueueWait  = 1200 * time.Millisecond
-	// callerPatience is after which time without an event callers disconnect.
-	callerPatience = 2 * time.Second
 	// maxRetryShare is the share of its remaining time that a caller waits at most. It
 	// ignores a longer Retry-After.
 	maxRetryShare = 1.0 / 3
@@ -26,11 +24,10 @@
 }
 
 // MaxWaitByUrgency returns how long a request with an objective may wait in a queue that
-// orders by urgency. It may wait until it must start to meet the objective, and then as
-// long as any other, but not so long that its caller disconnects before its first event.
-func MaxWaitByUrgency(remaining, untilDue, toFirstEvent time.Duration) time.Duration {
-	usual := MaxWait(remaining)
-	return max(usual, min(max(untilDue, 0)+usual, callerPatience-toFirstEvent))
+// orders by urgency: until it must start to meet the objective, and if it is late, as
+// long as any other.
+func MaxWaitByUrgency(remaining, untilDue time.Duration) time.Duration {
+	return max(MaxWait(remaining), min(untilDue, remaining))
 }
 
 // RetryAfter returns what to ask the caller of a rejected request to wait if a further
--- a/internal/gateway/queueing.go
+++ b/internal/gateway/queueing.go
@@ -55,8 +55,7 @@
 		queued.Organisation = c.organisation.Name
 	}
 	if !queued.DueAt.IsZero() && g.queues.ByUrgency() {
-		toFirstEvent := c.started.Add(c.route.Objective).Sub(queued.DueAt)
-		queued.MaxWait = dispatch.MaxWaitByUrgency(time.Until(c.deadline), time.Until(queued.DueAt), toFirstEvent)
+		queued.MaxWait = dispatch.MaxWaitByUrgency(time.Until(c.deadline), time.Until(queued.DueAt))
 	}
 	return queued
 }
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -186,6 +186,7 @@
 			Forward: func(h http.Header, f gateway.ForwardInfo) {
 				h.Del("Key")
 				h.Set("Organisation", f.Organisation)
+				h.Set("Told-Priority", strconv.Itoa(f.Priority))
 				h.Set("Wait-Ms", strconv.FormatInt(f.Timeout.Milliseconds(), 10))
 				if f.LastEventID != "" {
 					h.Set("After", f.LastEventID)
