--- a/internal/dispatch/prediction.go
+++ b/internal/dispatch/prediction.go
@@ -79,7 +79,7 @@
 }
 
 // mayStartLate reports whether a request that lost its objective while it waited may
-// start now. In a queue that does not order by urgency it always may.
+// start now even if there is little capacity. In a queue that does not order by urgency it always may.
 func (q *Queue) mayStartLate(now time.Time) bool {
 	if !q.byUrgency {
 		return true
--- a/internal/dispatch/queue_wait.go
+++ b/internal/dispatch/queue_wait.go
@@ -32,6 +32,9 @@
 	// that is kept for requests that are not overdue. If it is nil, that function is
 	// used.
 	ReserveAny func(now time.Time) *Reservation
+	// HasSpare reports whether there is so much capacity that requests which lost their
+	// objective delay no others. It may be nil.
+	HasSpare func(now time.Time) bool
 }
 
 // waiter returns the waiter of a request that begins to wait.
@@ -57,7 +60,7 @@
 	w := request.waiter(q.now())
 	w.Shed = func() { close(shed) }
 	start := func(now time.Time, late bool, reserve func(now time.Time) *Reservation) bool {
-		if late && !q.mayStartLate(now) {
+		if late && !q.mayStartLate(now) && (request.HasSpare == nil || !request.HasSpare(now)) {
 			return false
 		}
 		r := reserve(now)
--- a/internal/dispatch/urgency_test.go
+++ b/internal/dispatch/urgency_test.go
@@ -141,6 +141,7 @@
 		Organisation: r.organisation, Priority: r.urgency.Organisation, Urgency: r.urgency, Cost: r.holds.Seconds(), DueAt: due,
 		MaxWait: dispatch.MaxWait(callTimeout), Early: returns.Early(time.Now(), id),
 		ReserveAny: func(now time.Time) *dispatch.Reservation { return reserve(now, false) },
+		HasSpare:   func(now time.Time) bool { return o.entries[entry].HasSpare(now, notes) },
 	}
 	expected := queue.EstimateWait(r.organisation)
 	if o.byUrgency {
--- a/internal/dispatch/wait_bounds.go
+++ b/internal/dispatch/wait_bounds.go
@@ -13,7 +13,7 @@
 	// ignores a longer Retry-After.
 	maxRetryShare = 1.0 / 3
 	// retryJitter is by which share a Retry-After is lengthened at most, so that
-	// rejected callers don't return at one moment.
+	// rejected callers don't return at one moment. It stays within maxRetryShare.
 	retryJitter = 0.25
 )
 
@@ -33,6 +33,6 @@
 // RetryAfter returns what to ask the caller of a rejected request to wait if a further
 // one is predicted to wait that long. random is uniform in [0, 1).
 func RetryAfter(wait, remaining time.Duration, random float64) time.Duration {
-	wait += time.Duration(random * retryJitter * float64(wait))
-	return max(min(wait, time.Duration(float64(remaining)*maxRetryShare)), time.Millisecond)
+	wait = min(wait, time.Duration(float64(remaining)*maxRetryShare/(1+retryJitter)))
+	return max(time.Duration(float64(wait)*(1+random*retryJitter)), time.Millisecond)
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -51,6 +51,7 @@
 	started := time.Now()
 	g.limits.ask(ctx, requirements)
 	queued.ReserveAny = func(now time.Time) *dispatch.Reservation { return g.balancer.Reserve(now, requirements) }
+	queued.HasSpare = func(now time.Time) bool { return g.balancer.HasSpare(now, requirements) }
 	res := queue.Wait(ctx, queued, func(now time.Time) *dispatch.Reservation {
 		r := requirements
 		r.Overdue = !queued.DueAt.IsZero() && now.After(queued.DueAt)
