--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -83,6 +83,7 @@
 		ConfigApplied, ConfigRejected, ConfigFromPeer, ConfigSnapshot, SnapshotFailed,
 		ProvisionalOrderAccepted, ProvisionalOrderRecorded,
 		LogLinesDropped, SettingsReloaded, SettingsRejected, ServerRecordChanged, ServerRecordStale, ControllerLeaseAcquired, ControllerLeaseLost, CallRejected,
-		OrderSent, GroupPhaseChanged, ServerUnresponsive, ServerResponsive, LimitChanged, LimitInvalid, LimitsAllocated, ServerLeaving, ServerWaits, RequestServed, EvacuatedZonesChanged,
+		OrderSent, GroupPhaseChanged, ServerUnresponsive, ServerResponsive, LimitChanged, LimitInvalid, LimitsAllocated, ServerLeaving, ServerWaits,
+		QueueOrderChanged, CallersReturnEarly, RequestServed, EvacuatedZonesChanged,
 	}
 }
