--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -65,6 +65,8 @@
 	UnrecordedServerUsed     = Event{423, logrus.InfoLevel, "requests go on to a backend server whose record is gone"}
 	GroupKept                = Event{424, logrus.InfoLevel, "replica group goes on although members have no server record"}
 	RecordsLost              = Event{425, logrus.WarnLevel, "many server records went at one moment: the servers have probably lost the store"}
+	QueueOrderChanged        = Event{428, logrus.InfoLevel, "order of the request queues changed"}
+	CallersReturnEarly       = Event{429, logrus.WarnLevel, "callers send rejected requests again before the time that they were asked to wait"}
 	AttemptBroken            = Event{504, logrus.WarnLevel, "attempt of a streamed response broke off; its server was probed"}
 	PartQuarantined          = Event{505, logrus.WarnLevel, "prompt part in quarantine: requests with it are rejected"}
 	PartReleased             = Event{506, logrus.InfoLevel, "prompt part released from quarantine"}
@@ -87,6 +89,6 @@
 		ConfigApplied, ConfigRejected, ConfigFromPeer, ConfigSnapshot, SnapshotFailed,
 		ProvisionalOrderAccepted, ProvisionalOrderRecorded,
 		LogLinesDropped, SettingsReloaded, SettingsRejected, ServerRecordChanged, ServerRecordStale, ControllerLeaseAcquired, ControllerLeaseLost, CallRejected,
-		OrderSent, GroupPhaseChanged, ServerUnresponsive, ServerResponsive, LimitChanged, LimitInvalid, LimitsAllocated, ServerLeaving, ServerWaits, PlanChanged, DemandInvalid, PlanBasisChanged, UnrecordedServerUsed, GroupKept, RecordsLost, RequestServed, EvacuatedZonesChanged,
+		OrderSent, GroupPhaseChanged, ServerUnresponsive, ServerResponsive, LimitChanged, LimitInvalid, LimitsAllocated, ServerLeaving, ServerWaits, PlanChanged, DemandInvalid, PlanBasisChanged, UnrecordedServerUsed, GroupKept, RecordsLost, QueueOrderChanged, CallersReturnEarly, RequestServed, EvacuatedZonesChanged,
 	}
 }
