--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,6 +37,7 @@
 type fixture struct {
 	limiter  *connlimit.Limiter
 	listener pipeListener
+	mu       sync.Mutex
 	evicted  []connlimit.Eviction
 }
 
@@ -46,7 +48,11 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		x := &fixture{listener: make(pipeListener)}
-		x.limiter = connlimit.New(capacity, connlimit.WithOnEvict(func(e connlimit.Eviction) { x.evicted = append(x.evicted, e) }))
+		x.limiter = connlimit.New(capacity, connlimit.WithOnEvict(func(e connlimit.Eviction) {
+			x.mu.Lock()
+			defer x.mu.Unlock()
+			x.evicted = append(x.evicted, e)
+		}))
 		s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			body, reserved, err := x.limiter.ReadRequest(r.Context(), r.Body, r.ContentLength)
 			defer x.limiter.Release(r.Context(), reserved)
