Report the needed groups also while the plan follows the initial shares

Operators could not see the demand either. Event 420 and the gauges now come in both cases, with the field by-demand.

TestRequestsThatProgressAreNotClosed failed in the same run: its client gave up with the error of its own unfinished write, although the refusal had arrived. The fixture's client now reads the response whatever becomes of the rest of its body; the checks are the same. 10 runs with the race detector pass.

--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -1,9 +1,10 @@
 package connlimit_test
 
 import (
+	"bufio"
 	"bytes"
-	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -82,17 +83,17 @@
 	return near
 }
 
-// post sends a request with a body and returns the response's status and size.
+// post sends a request with a body and returns the response's status and size. The
+// server may respond before it has read the whole body, and close the connection.
 func (x *fixture) post(c net.Conn, body string) (status, size int, err error) {
-	client := http.Client{Transport: &http.Transport{
-		DialContext:       func(context.Context, string, string) (net.Conn, error) { return c, nil },
-		DisableKeepAlives: true,
-	}}
-	response, err := client.Post("http://server/", "text/plain", strings.NewReader(body))
+	defer c.Close()
+	go func() {
+		_, _ = fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: server\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}()
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		return 0, 0, err
 	}
-	defer response.Body.Close()
 	received, err := io.ReadAll(response.Body)
 	return response.StatusCode, len(received), err
 }
--- a/internal/formation/demand.go
+++ b/internal/formation/demand.go
@@ -36,8 +36,8 @@
 
 // PlanReport describes a plan, for the log and the metrics.
 type PlanReport struct {
-	// ByDemand is not set if the groups are planned by the initial shares. Models and
-	// the numbers of servers are then empty.
+	// ByDemand is not set if the groups are planned by the initial shares. Spares is
+	// then 0, and Models is empty if the demand is not known.
 	ByDemand bool
 	// Changed is set if the targets are others than in the last report with Changed, or
 	// the demand differs much.
@@ -74,8 +74,10 @@
 	mismatchSince map[modelDomain]time.Time
 	// skewed is set while the plan follows the demand.
 	skewed bool
-	// plan is the plan of the current step, or nil if it plans by share.
-	plan *demandPlan
+	// plan is the plan of the current step, or nil if it plans by share. shares
+	// describes the plan by share if the demand is known.
+	plan   *demandPlan
+	shares []ModelPlan
 	// reported is the last report with Changed set, at reportedAt.
 	reported   PlanReport
 	reportedAt time.Time
@@ -112,6 +114,7 @@
 	p.losses.observe(now, v, c.zone, service)
 	p.repairs.observe(now, c.groups)
 	p.changes.observe(now, c.groups)
+	p.shares = nil
 	if c.bootstrapping || len(e.Models) < 2 || !e.Timed() || !p.history.Known(now) {
 		return nil
 	}
@@ -121,6 +124,11 @@
 	}
 	measured := p.history.KnownFor(now) >= demand.ShortSpan
 	if p.skewed = measured && isSkewed(needed, byShare, p.skewed); !p.skewed {
+		for _, m := range largestGroupsFirst(e.Models) {
+			p.shares = append(p.shares, ModelPlan{
+				Model: m.Name, Needed: needed[m.Name], Target: wholeGroups(byShare[m.Name]), Existing: existing[m.Name],
+			})
+		}
 		return nil
 	}
 	s := c.newZoneState(now, v, service, e, probe)
@@ -148,18 +156,19 @@
 
 // report describes the plan of the current step.
 func (p *demandPlanner) report(now time.Time, idle int) *PlanReport {
-	r := PlanReport{ByDemand: p.plan != nil}
-	r.Changed = r.ByDemand != p.reported.ByDemand
+	r := PlanReport{ByDemand: p.plan != nil, Models: p.shares, Idle: idle}
 	if p.plan != nil {
-		r.Spares, r.Idle = p.plan.state.spares, idle
-		for i, m := range p.plan.state.models {
-			mp := ModelPlan{
+		r.Spares = p.plan.state.spares
+		for _, m := range p.plan.state.models {
+			r.Models = append(r.Models, ModelPlan{
 				Model: m.Name, Needed: p.plan.needed[m.Name], Target: p.plan.targets[m.Name], Existing: p.plan.existing[m.Name],
-			}
-			r.Models = append(r.Models, mp)
-			r.Changed = r.Changed || i >= len(p.reported.Models) || mp.differs(p.reported.Models[i])
+			})
 		}
 	}
+	r.Changed = r.ByDemand != p.reported.ByDemand || len(r.Models) != len(p.reported.Models)
+	for i := 0; i < len(r.Models) && !r.Changed; i++ {
+		r.Changed = r.Models[i].differs(p.reported.Models[i])
+	}
 	if r.Changed = r.Changed && now.Sub(p.reportedAt) >= planReportInterval; r.Changed {
 		p.reported, p.reportedAt = r, now
 	}
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -131,11 +131,14 @@
 func (c *Controller) targetGroups(e *routes.Engine, alive int) map[string]int {
 	targets := make(map[string]int, len(e.Models))
 	for model, n := range groupsByShare(e, alive) {
-		targets[model] = max(int(math.Round(n)), 1)
+		targets[model] = wholeGroups(n)
 	}
 	return targets
 }
 
+// wholeGroups rounds a number of groups, to one at least.
+func wholeGroups(n float64) int { return max(int(math.Round(n)), 1) }
+
 // groupsByShare returns how many groups of each model the initial shares give, before
 // they are rounded.
 func groupsByShare(e *routes.Engine, alive int) map[string]float64 {
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -197,10 +197,10 @@
 	if basisChanged {
 		event.PlanBasisChanged.Log(d.gateway.logger, logrus.Fields{"by-demand": p.ByDemand})
 	}
-	if !p.Changed || !p.ByDemand {
+	if !p.Changed || len(p.Models) == 0 {
 		return
 	}
-	fields := logrus.Fields{"spares": p.Spares, "idle": p.Idle}
+	fields := logrus.Fields{"spares": p.Spares, "idle": p.Idle, "by-demand": p.ByDemand}
 	for _, m := range p.Models {
 		fields["needed-"+m.Model] = math.Round(m.Needed*10) / 10
 		fields["target-"+m.Model], fields["existing-"+m.Model] = m.Target, m.Existing
