Log a stream as resumed only if its caller had received events

Cause: a resume was logged at the second event of any attempt after a failed one. A leader whose group begins to close rejects a request; on a reused connection that rejection carries no ID and counts as a failed attempt. The stream then begins at another server, and its second event was logged as a resume.

A resume is now logged at the first event that a continuation forwards, which requires that the response has begun before the attempt.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -83,9 +83,6 @@
 	// whether there is one.
 	prediction dispatch.Prediction
 	predicted  bool
-	// lastResume is the value of sent when a resume was last logged. It limits
-	// the log to one resume per attempt.
-	lastResume int
 	// reserved is the memory that is reserved for the request's body and for
 	// response bodies.
 	reserved int64
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -236,7 +236,7 @@
 
 func (s *streamRelay) relayEvents(x *backend.Exchange, res *dispatch.Reservation, watch *watchdog) (streamResult, string) {
 	c := s.call
-	continues := s.headerSent
+	continues, resumed := s.headerSent, false
 	if continues && !isEventStream(x.Response) {
 		x.Abort()
 		return streamBroken, "the response that is to continue the stream is no stream of events"
@@ -270,7 +270,8 @@
 		}
 		if !s.headerSent {
 			s.writeHeader(x)
-		} else if c.sent > 0 && c.delivered > 0 && s.lastID != "" {
+		} else if continues && !resumed {
+			resumed = true
 			s.logResume(res)
 		}
 		if _, err := s.w.Write(e.Bytes); err != nil {
@@ -334,12 +335,10 @@
 	return err == nil && next <= last
 }
 
+// logResume records that a server continues a stream of which the caller has already
+// received events. A stream that begins at its second server is not resumed.
 func (s *streamRelay) logResume(res *dispatch.Reservation) {
 	c := s.call
-	if c.lastResume == c.sent {
-		return
-	}
-	c.lastResume = c.sent
 	s.gateway.metrics.resumed.Add(1)
 	event.StreamResumed.Log(s.gateway.logger, logrus.Fields{
 		"request": c.info.ID, "server": res.Server.ID, "after-event": s.lastID, "attempts": c.attemptNotes,
--- a/internal/gateway/stream_error_test.go
+++ b/internal/gateway/stream_error_test.go
@@ -94,3 +94,31 @@
 		}
 	}
 }
+
+// Guards against counting a stream as resumed that has only begun at its second
+// server: nothing of it was interrupted. A stream that breaks off is logged once.
+func TestOnlyABrokenStreamIsLoggedAsResumed(t *testing.T) {
+	const count = 10
+	for name, c := range map[string]struct {
+		first   func(http.ResponseWriter, *http.Request)
+		resumed int
+	}{
+		"fails before its first event": {answer(500, "failed"), 0},
+		"breaks off":                   {breakOff(3), 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(s *site) {
+				s.add("d1", "notes", "large", c.first)
+			}, func(s *site) {
+				result := make(chan response)
+				go func() { result <- s.call(s.t.Context(), http.MethodPost, "/notes/1", "1", nil) }()
+				time.Sleep(time.Millisecond)
+				s.add("d2", "notes", "large", events(count, nil))
+				got := <-result
+				require.NoError(s.t, got.err)
+				require.Equal(s.t, completeStream(count), got.body)
+				require.Equal(s.t, c.resumed, strings.Count(s.logs.String(), `"event":500,`), s.logs.String())
+			})
+		})
+	}
+}
