Log when a stream's first event was forwarded, and its longest pause

The outcome line of a stream told only its total time, so a late first event, a wait in the queue and a pause in the middle could not be told apart. The fields queued-ms, first-ms and pause-ms tell them.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -57,7 +57,9 @@
 		r.Overdue = !queued.DueAt.IsZero() && now.After(queued.DueAt)
 		return g.balancer.Reserve(now, r)
 	})
-	g.metrics.waited.observe(time.Since(started))
+	waited := time.Since(started)
+	c.queued += waited
+	g.metrics.waited.observe(waited)
 	if res == nil && g.queues.ByUrgency() {
 		if !queued.DueAt.IsZero() {
 			// What the caller sends again has its whole objective before it.
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -88,6 +88,13 @@
 	reserved int64
 	// delivered counts the events of a stream that were forwarded to the caller.
 	delivered int
+	// queued is how long the request has waited for capacity.
+	queued time.Duration
+	// firstAfter is when the first event was forwarded, counted from the request's
+	// arrival; lastAt is the time of the last one, and longestPause the longest time
+	// between two.
+	firstAfter, longestPause time.Duration
+	lastAt                   time.Time
 }
 
 func (c *call) addNote(text string) { c.attemptNotes = append(c.attemptNotes, text) }
@@ -270,6 +277,10 @@
 	}
 	if c.delivered > 0 {
 		fields["events"] = c.delivered
+		fields["first-ms"], fields["pause-ms"] = c.firstAfter.Milliseconds(), c.longestPause.Milliseconds()
+	}
+	if c.queued >= time.Millisecond {
+		fields["queued-ms"] = c.queued.Milliseconds()
 	}
 	if c.route != nil && c.sent == 0 && status == http.StatusServiceUnavailable {
 		g.addCapacity(fields, c)
@@ -284,6 +295,17 @@
 	event.RequestServed.Log(g.logger, fields)
 }
 
+// recordForwarded records the time at which an event was forwarded.
+func (c *call) recordForwarded(now time.Time) {
+	if c.delivered == 0 {
+		c.firstAfter = now.Sub(c.started)
+	} else {
+		c.longestPause = max(c.longestPause, now.Sub(c.lastAt))
+	}
+	c.lastAt = now
+	c.delivered++
+}
+
 // addCapacity adds the current load and capacity of the request's servers to
 // the log fields of a rejected request.
 func (g *Gateway) addCapacity(fields logrus.Fields, c *call) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -278,7 +278,7 @@
 			x.Abort()
 			return streamCallerGone, err.Error()
 		}
-		c.delivered++
+		c.recordForwarded(now)
 		if len(e.ID) > 0 {
 			s.lastID = string(e.ID)
 		}
