Tell other zones the loads of all servers

Callers of a zone whose own groups were full waited 0.5 to 1 s at groups of other zones that were as full. Cause: hubs of two zones told each other only the loads of these two zones' servers, so what a third zone's entries had sent there was not known.

A hub now tells the loads of all servers. Those without requests are left out as before, so zones that keep to their own servers send nothing more.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -35,11 +35,9 @@
 const relayedLoads = ""
 
 // peers exchanges the numbers of in-flight requests, by server, and what is known
-// about prompt parts that crash servers with the other hubs. Hubs of the same zone
-// exchange them for all servers, hubs of different zones only for the servers of
-// those two zones. In each pair of hubs, the one whose name sorts first sends the
-// exchange request, and the reply carries the other hub's loads. A relay reports the
-// loads of the entries that it relays for as its own.
+// about prompt parts that crash servers with the other hubs. In each pair of hubs, the
+// one whose name sorts first sends the exchange request, and the reply carries the other
+// hub's loads. A relay reports the loads of the entries that it relays for as its own.
 type peers struct {
 	gateway *Gateway
 	server  *peer.Server
@@ -198,7 +196,7 @@
 	limits := ps.gateway.limits
 	sentAt := time.Now()
 	reply, err := p.link.Call(ctx, peer.Request{Exchange: &peer.Exchange{
-		Entry: ps.gateway.settings.Name, Zone: ps.gateway.settings.Zone, Loads: ps.subtreeLoads(p.zone),
+		Entry: ps.gateway.settings.Name, Zone: ps.gateway.settings.Zone, Loads: ps.subtreeLoads(),
 		Parts: ps.gateway.isolation.tracker.Report(sentAt), Quota: ps.quotaMessage(sentAt, p), Demand: ps.gateway.demands.subtree(sentAt),
 	}})
 	var grants []quota.Grant
@@ -254,11 +252,12 @@
 	return nil
 }
 
-// subtreeLoads returns the loads to send to a hub of the zone, or to this entry's
-// relay if zone is empty: for each relevant server, the number of in-flight requests
-// of this entry and of those that it relays for, and whether the server is stalled.
-// Stalled servers are included even without requests in flight.
-func (ps *peers) subtreeLoads(zone string) []peer.Load {
+// subtreeLoads returns the loads to send to a hub or to this entry's relay: for each
+// server, the number of in-flight requests of this entry and of those that it relays
+// for, and whether the server is stalled. Stalled servers are included even without
+// requests in flight, and servers of all zones: a third zone would otherwise seem to have
+// room that this one uses.
+func (ps *peers) subtreeLoads() []peer.Load {
 	sums := ps.localSums()
 	now := time.Now()
 	ps.mu.Lock()
@@ -268,17 +267,9 @@
 		}
 	}
 	ps.mu.Unlock()
-	v := ps.gateway.registry.View()
 	loads := make([]peer.Load, 0, len(sums))
 	for inc, sum := range sums {
-		s := v.Servers[inc.ID]
-		if s == nil {
-			s = v.Removed[inc.ID]
-		}
-		own := ps.gateway.settings.Zone
-		if zone == "" || zone == own || (s != nil && (s.Zone == zone || s.Zone == own)) {
-			loads = append(loads, sum.load(inc))
-		}
+		loads = append(loads, sum.load(inc))
 	}
 	return loads
 }
@@ -364,7 +355,7 @@
 	limits.accept(now, name, r.Exchange.Quota)
 	ps.apply()
 	return peer.Reply{Exchange: &peer.ExchangeReply{
-		Entry: ps.gateway.settings.Name, Zone: ps.gateway.settings.Zone, Ready: ps.gateway.Ready(), Loads: ps.subtreeLoads(zone),
+		Entry: ps.gateway.settings.Name, Zone: ps.gateway.settings.Zone, Ready: ps.gateway.Ready(), Loads: ps.subtreeLoads(),
 		Parts: ps.gateway.isolation.tracker.Report(now),
 		Quota: limits.respond(now, name, zone, r.Exchange.Quota), Demand: ps.gateway.demands.subtree(now),
 	}}
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -262,7 +262,7 @@
 	if _, hub := rs.hubs(); !hub {
 		request.Quota = rs.quotaMessage(time.Now(), l, active)
 		if active {
-			request.WantLoads, request.Loads = true, g.peers.subtreeLoads("")
+			request.WantLoads, request.Loads = true, g.peers.subtreeLoads()
 			request.Demand = g.demands.subtree(time.Now())
 		}
 	}
