Don't take a full group for stalled

Cause: a group counts as stalled if none of an entry's requests there gets an event for 0.5 s. Requests that wait there for a slot get none, and one entry's report closes the group for the others. Requests that have not begun at a full group now get as much more time as the requests beyond its slots need; a stream that has begun must advance as before.

--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -45,6 +45,8 @@
 	Server   *registry.Server
 	balancer *Balancer
 	load     *load
+	// begun is set once the request has made progress.
+	begun    bool
 	released bool
 }
 
@@ -220,6 +222,10 @@
 		l.lastProgress = now
 	}
 	l.inFlight++
+	if service.Engine != nil {
+		l.slots = slotsOf(best, service)
+		l.turn = service.Engine.RequestTime(r.Model) / time.Duration(l.slots)
+	}
 	return &Reservation{Server: best, balancer: b, load: l}
 }
 
@@ -257,18 +263,14 @@
 	if s.Leaving || b.excluded[s.Zone] || r.Tried[s.ID] {
 		return 0, false
 	}
-	slots := s.Slots
-	if service.Engine != nil {
-		if !s.LeadsOpenGroup(r.Model) {
-			return 0, false
-		}
-		slots = service.Engine.Slots
+	if service.Engine != nil && !s.LeadsOpenGroup(r.Model) {
+		return 0, false
 	}
 	l := b.load(s)
 	if l.unresponsive(now) || b.waits(now, s, l) || !b.coldRateAllows(now, s, l, service.ColdRate) {
 		return 0, false
 	}
-	slots = max(slots, 1)
+	slots := slotsOf(s, service)
 	score := float64(l.totalInFlight()) / float64(slots)
 	local := s.Zone == b.zone
 	switch {
@@ -288,6 +290,14 @@
 	return score, true
 }
 
+// slotsOf returns how many requests the server runs at the same time, and at least 1.
+func slotsOf(s *registry.Server, service *routes.Service) int {
+	if service.Engine != nil {
+		return max(service.Engine.Slots, 1)
+	}
+	return max(s.Slots, 1)
+}
+
 // overdueSlots returns how many of a group's slots overdue requests leave free. A
 // group with a single slot has none to spare.
 func overdueSlots(slots int) int {
@@ -327,6 +337,9 @@
 	}
 	r.released = true
 	r.load.inFlight--
+	if r.begun {
+		r.load.begun--
+	}
 	switch result {
 	case Served:
 		r.load.failureRate *= 1 - failureWeight
@@ -345,6 +358,10 @@
 func (r *Reservation) RecordProgress(now time.Time) {
 	r.balancer.mu.Lock()
 	defer r.balancer.mu.Unlock()
+	if !r.begun && !r.released {
+		r.begun = true
+		r.load.begun++
+	}
 	r.load.recordProgress(now)
 }
 
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -29,8 +29,13 @@
 
 // load is the load and health of one server as this entry observes them.
 type load struct {
-	// inFlight is this entry's number of requests in flight.
-	inFlight int
+	// inFlight is this entry's number of requests in flight, and begun the number of
+	// those that have made progress.
+	inFlight, begun int
+	// slots is how many requests a replica group runs at the same time, and turn the
+	// mean time until a slot of a full group becomes free. Both are 0 for other servers.
+	slots int
+	turn  time.Duration
 	// peerInFlight is the number of requests in flight that the other entries, of
 	// this and other zones, last reported.
 	peerInFlight int
@@ -59,9 +64,14 @@
 }
 
 // stalled reports whether requests of this entry are in flight and none has
-// advanced for longer than stallTimeout.
+// advanced for longer than stallTimeout. Requests that have not begun at a full group
+// wait for a slot, so they have as much more time as that takes.
 func (l *load) stalled(now time.Time) bool {
-	return l.inFlight > 0 && now.Sub(l.lastProgress) > stallTimeout
+	limit := stallTimeout
+	if l.begun == 0 && l.slots > 0 {
+		limit += time.Duration(max(l.totalInFlight()-l.slots, 0)) * l.turn
+	}
+	return l.inFlight > 0 && now.Sub(l.lastProgress) > limit
 }
 
 // reportStalled reports whether other entries should avoid the server: it is stalled, or
--- a/internal/gateway/queueing.go
+++ b/internal/gateway/queueing.go
@@ -104,7 +104,7 @@
 	if service == nil || service.Engine == nil {
 		return 0
 	}
-	took := requestTime(service.Engine, r.Model)
+	took := service.Engine.RequestTime(r.Model)
 	if took <= 0 {
 		return 0
 	}
@@ -112,19 +112,6 @@
 	return float64(groups*service.Engine.Slots) / took.Seconds() / float64(g.entries())
 }
 
-// requestTime returns how long a request of mean length holds a slot of a busy group.
-func requestTime(e *routes.Engine, model string) time.Duration {
-	m, _ := e.Model(model)
-	t := float64(e.MeanResponseTokens) * float64(e.StepTime+time.Duration(e.Slots)*e.SequenceTime)
-	if e.PrefillRate > 0 {
-		t += float64(e.MeanPromptTokens) / e.PrefillRate * float64(time.Second)
-	}
-	if m.TimeScale > 0 {
-		t *= m.TimeScale
-	}
-	return time.Duration(t)
-}
-
 // retryAfter returns the Retry-After of a request that is expected to wait for that
 // long.
 func (g *Gateway) retryAfter(c *call, wait time.Duration) time.Duration {
--- a/internal/routes/config.go
+++ b/internal/routes/config.go
@@ -113,8 +113,7 @@
 // FirstEventTime returns how long a busy replica group of the model usually takes
 // from the arrival of a request to its first event. It is 0 for an unknown model.
 func (e *Engine) FirstEventTime(model string, promptTokens int) time.Duration {
-	m, found := e.Model(model)
-	if !found {
+	if _, found := e.Model(model); !found {
 		return 0
 	}
 	pass := time.Duration(e.StepsPerPass) * (e.StepTime + time.Duration(e.Slots)*e.SequenceTime)
@@ -122,7 +121,27 @@
 	if e.PrefillRate > 0 {
 		t += float64(promptTokens) / e.PrefillRate * float64(time.Second)
 	}
-	if m.TimeScale > 0 {
+	return e.scaled(model, t)
+}
+
+// PrefillTime returns how long a group of the model prefills a prompt of mean length.
+func (e *Engine) PrefillTime(model string) time.Duration {
+	if e.PrefillRate <= 0 {
+		return 0
+	}
+	return e.scaled(model, float64(e.MeanPromptTokens)/e.PrefillRate*float64(time.Second))
+}
+
+// RequestTime returns how long a request of mean length holds a slot of a busy group of
+// the model. Meanwhile the group prefills a prompt for each of its slots.
+func (e *Engine) RequestTime(model string) time.Duration {
+	step := float64(e.StepTime + time.Duration(e.Slots)*e.SequenceTime)
+	return e.scaled(model, float64(e.MeanResponseTokens)*step) + time.Duration(e.Slots)*e.PrefillTime(model)
+}
+
+// scaled returns the nanoseconds times the time scale of the model.
+func (e *Engine) scaled(model string, t float64) time.Duration {
+	if m, _ := e.Model(model); m.TimeScale > 0 {
 		t *= m.TimeScale
 	}
 	return time.Duration(t)
