Choose groups by stale loads, use other zones earlier, pace starts

Causes: 69 entries chose the least loaded group by reports that are 0.2 s old, so all sent to the same one until the next reports; a group of another zone was used only when the own zone was full, while 65% of a zone's callers had moved to the next one; and with all slots in use each entry sent to every slot that looked free, so that groups held 60 requests in 30 slots.

In zones with relays, an entry now draws the group such that all entries together even out the loads over three report delays, prefers a group of another zone that has a quarter of its slots less in use, and starts only its share of the requests for which slots become free while slots are short. Zones whose entries exchange loads directly choose as before.

--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -70,6 +71,14 @@
 	// groups that the view has no record of any more.
 	drain      time.Duration
 	unrecorded []*registry.Server
+	// reportDelay is how old the loads of the other entries are on average, and random
+	// returns a uniform number in [0, 1).
+	reportDelay time.Duration
+	random      func() float64
+	// paces limit the starts by model, and shares are this entry's parts of the zone's
+	// requests.
+	paces  map[string]*pace
+	shares map[string]float64
 }
 
 // Option configures a Balancer.
@@ -84,8 +93,8 @@
 // NewBalancer returns a Balancer for an entry in the zone.
 func NewBalancer(zone string, opts ...Option) *Balancer {
 	b := &Balancer{
-		zone: zone, view: &registry.View{},
-		loads:  make(map[registry.Incarnation]*load),
+		zone: zone, view: &registry.View{}, random: rand.Float64,
+		loads: make(map[registry.Incarnation]*load), paces: make(map[string]*pace),
 		grants: quota.NewHolder(quota.NewBook(), func() int { return 1 }),
 	}
 	for _, opt := range opts {
@@ -196,25 +205,33 @@
 	if service == nil {
 		return nil
 	}
-	var best *registry.Server
-	bestScore := 0.0
 	r.remoteShare = maxRemoteShare
 	if !b.hasLocalServer(now, service, r) {
 		r.remoteShare = maxRemoteShareNoLocal
 	}
+	// Further attempts are limited by the retry budget instead.
+	paced := len(r.Tried) == 0 && !b.paceAllows(now, service, r.Model)
+	var fitting []candidate
 	for s := range b.candidates(now) {
 		if s.Service != r.Service {
 			continue
 		}
 		score, fits := b.score(now, s, service, r)
-		fits = fits && b.grants.Allows(now, s.Incarnation())
-		if fits && (best == nil || score < bestScore || (score == bestScore && s.ID < best.ID)) {
-			best, bestScore = s, score
+		if paced && (s.Zone == b.zone || float64(b.load(s).totalInFlight()) > pacedRemoteUse*float64(slotsOf(s, service))) {
+			continue
+		}
+		if fits && b.grants.Allows(now, s.Incarnation()) {
+			fitting = append(fitting, candidate{server: s, load: score * float64(slotsOf(s, service))})
 		}
 	}
+	unseen, most := b.unseen(fitting, service, r.Model)
+	best := choose(fitting, unseen, most, b.random())
 	if best == nil {
 		return nil
 	}
+	if best.Zone == b.zone {
+		b.takePace(r.Model)
+	}
 	l := b.load(best)
 	l.takeColdToken(now)
 	b.grants.Take(now, best.Incarnation())
@@ -281,7 +298,7 @@
 	case r.Overdue && service.Engine != nil && l.totalInFlight() >= slots-overdueSlots(slots):
 		return 0, false
 	case !local:
-		score += 1
+		score += b.remoteMargin(service)
 	}
 	score += 2 * l.failureRate
 	if now.Before(l.avoidUntil) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -60,6 +60,12 @@
 	waited := time.Since(started)
 	c.queued += waited
 	g.metrics.waited.observe(waited)
+	if waited > 0 && !isRetry && g.balancer.Pace(model) > 0 {
+		g.metrics.paced.Add(1)
+	}
+	if res != nil && res.Server.Zone != g.settings.Zone {
+		g.metrics.remoteSends.Add(1)
+	}
 	if res == nil && g.queues.ByUrgency() {
 		if !queued.DueAt.IsZero() {
 			// What the caller sends again has its whole objective before it.
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -160,6 +160,22 @@
 	return formation.Demand{Rates: demand.Sum(d.subtree(now), told)}
 }
 
+// shares returns this entry's part of the zone's requests, by model, as far as it is
+// known.
+func (d *demands) shares(now time.Time) map[string]float64 {
+	shares := make(map[string]float64)
+	zone := make(map[string]float64)
+	for _, r := range d.zone(now).Rates {
+		zone[r.Model] = r.Short + r.Long
+	}
+	for _, own := range d.meter.Rates(now) {
+		if zone[own.Model] > 0 {
+			shares[own.Model] = (own.Short + own.Long) / zone[own.Model]
+		}
+	}
+	return shares
+}
+
 // without returns the demand of the zone without that of an entry that this one relays
 // for. It returns nothing if this entry does not know all of it.
 func (d *demands) without(now time.Time, entry string) []demand.Rate {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -284,7 +284,7 @@
 	}
 	if c.route != nil && c.sent == 0 && status == http.StatusServiceUnavailable {
 		g.addCapacity(fields, c)
-		c.addPrediction(fields)
+		g.addPrediction(fields, c)
 	}
 	if reason != "" {
 		fields["reason"] = reason
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -28,6 +28,10 @@
 	// and unrecordedSends the requests sent to servers without a record.
 	groupsKept, unrecordedSends expvar.Int
 
+	// paced counts the requests that waited because the starts of their model were
+	// limited, and remoteSends the attempts at servers of other zones.
+	paced, remoteSends expvar.Int
+
 	// waited is the time that each attempt spent in the queue, whether or not it
 	// got a reservation. first is the time to the first event of a stream, or to
 	// its end if it has no events. served is the time to the end of a request
@@ -62,6 +66,8 @@
 	m.vars.Set("groups-kept-without-record", &m.groupsKept)
 	m.vars.Set("sends-without-record", &m.unrecordedSends)
 	m.vars.Set("early-returns", &m.earlyReturns)
+	m.vars.Set("starts-paced", &m.paced)
+	m.vars.Set("sends-to-other-zones", &m.remoteSends)
 	return m
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -25,6 +25,9 @@
 	// expensive.
 	crossZoneExchangeInterval = 300 * time.Millisecond
 	exchangePath              = "/exchange"
+	// shareInterval is the time between two updates of this entry's part of the zone's
+	// requests.
+	shareInterval = 500 * time.Millisecond
 	// peerLoadTTL is how long the loads of an unresponsive peer are still
 	// counted.
 	peerLoadTTL = 2 * time.Second
@@ -41,6 +44,9 @@
 type peers struct {
 	gateway *Gateway
 	server  *peer.Server
+	// sharesAt is when the balancer was last told this entry's part of the requests.
+	// Only run uses it.
+	sharesAt time.Time
 
 	// mu guards the maps and the peerEntry fields lastExchange and pending.
 	mu sync.Mutex
@@ -189,6 +195,10 @@
 		ps.gateway.spawn(func() { ps.exchangeWith(ctx, p) })
 	}
 	ps.gateway.limits.allocate(now)
+	if now.Sub(ps.sharesAt) >= shareInterval {
+		ps.sharesAt = now
+		ps.gateway.balancer.SetShares(ps.gateway.demands.shares(now))
+	}
 	ps.apply()
 }
 
@@ -412,10 +422,26 @@
 		loads[inc] = dispatch.PeerLoad{InFlight: sum.inFlight, Stalled: sum.stalled > 0, AliveAt: sum.aliveAt()}
 	}
 	ps.mu.Unlock()
+	ps.gateway.balancer.SetReportDelay(ps.reportDelay())
 	ps.gateway.balancer.SetPeerLoads(loads)
 	ps.gateway.queues.Dispatch()
 }
 
+// reportDelay returns how old the loads of the other entries are on average if some of
+// them go through relays, and otherwise 0. Each interval on their way adds half of itself,
+// and so does the time until the next report.
+func (ps *peers) reportDelay() time.Duration {
+	if _, hub := ps.gateway.relays.hubs(); !hub {
+		return 3*syncInterval/2 + exchangeInterval/2
+	}
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	if len(ps.askerLoads) > 0 {
+		return syncInterval + exchangeInterval/2
+	}
+	return 0
+}
+
 func (ps *peers) closeAll() {
 	ps.server.Close()
 	ps.mu.Lock()
--- a/internal/gateway/queueing.go
+++ b/internal/gateway/queueing.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -139,11 +140,14 @@
 }
 
 // addPrediction adds the last prediction of a rejected request's wait to its log
-// fields.
-func (c *call) addPrediction(fields logrus.Fields) {
+// fields, and what its starts are limited to.
+func (g *Gateway) addPrediction(fields logrus.Fields, c *call) {
 	if !c.predicted {
 		return
 	}
+	if pace := g.balancer.Pace(c.info.Model); pace > 0 {
+		fields["pace-per-second"] = math.Round(pace*10) / 10
+	}
 	ahead := make([]string, 0, len(c.prediction.Ahead))
 	for _, u := range slices.SortedFunc(maps.Keys(c.prediction.Ahead), admission.Urgency.Compare) {
 		ahead = append(ahead, u.String()+": "+strconv.Itoa(c.prediction.Ahead[u]))
