Use another zone less after one of its servers could not be reached

Cause: the zone was cut off from another one, and each entry tried the servers of that zone one after the other, 0.4 s each, since a small difference of the loads is now enough to choose them. After such a failure another zone now counts as before for 3 s: it is used when the own zone is full.

TestAZoneThatMayBeCutOffIsUsedLess fails without the change.

--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -75,6 +75,8 @@
 	// returns a uniform number in [0, 1).
 	reportDelay time.Duration
 	random      func() float64
+	// zoneFailedUntil holds until when other zones are used less, by zone.
+	zoneFailedUntil map[string]time.Time
 	// paces limit the starts by model, and shares are this entry's parts of the zone's
 	// requests.
 	paces  map[string]*pace
@@ -95,7 +97,8 @@
 	b := &Balancer{
 		zone: zone, view: &registry.View{}, random: rand.Float64,
 		loads: make(map[registry.Incarnation]*load), paces: make(map[string]*pace),
-		grants: quota.NewHolder(quota.NewBook(), func() int { return 1 }),
+		zoneFailedUntil: make(map[string]time.Time),
+		grants:          quota.NewHolder(quota.NewBook(), func() int { return 1 }),
 	}
 	for _, opt := range opts {
 		opt(b)
@@ -298,7 +301,7 @@
 	case r.Overdue && service.Engine != nil && l.totalInFlight() >= slots-overdueSlots(slots):
 		return 0, false
 	case !local:
-		score += b.remoteMargin(service)
+		score += b.remoteMarginOf(now, s.Zone, service)
 	}
 	score += 2 * l.failureRate
 	if now.Before(l.avoidUntil) {
@@ -357,6 +360,7 @@
 	if r.begun {
 		r.load.begun--
 	}
+	b.observeZone(now, r.Server.Zone, result)
 	switch result {
 	case Served:
 		r.load.failureRate *= 1 - failureWeight
--- a/internal/dispatch/spread.go
+++ b/internal/dispatch/spread.go
@@ -22,6 +22,9 @@
 	// less in use than one of the own zone to be preferred. The streams of a group that
 	// is fuller by that much wait longer for a slot than the way between zones takes.
 	remoteMargin = 0.25
+	// zoneFailureDuration is for how long another zone is used less after one of its
+	// servers could not be reached or was stalled.
+	zoneFailureDuration = 3 * time.Second
 	// maxPrefillShare is the largest part of its time for which a replica group is given
 	// prompts to prefill. At a higher one, a group that has just opened would prefill for
 	// so long that its first events miss their objective.
@@ -127,17 +130,25 @@
 	return n, maxPrefillShare * correctionSpan * float64(b.reportDelay) / float64(prefill)
 }
 
-// remoteMargin returns by which part of its slots a server of another zone must be less
-// in use to be preferred. Entries that exchange loads directly know the own zone's much
-// better than those of others, and each brings a large part of the zone's requests: they
-// use other zones only when the own one is full.
-func (b *Balancer) remoteMargin(service *routes.Service) float64 {
-	if service.Engine == nil || b.reportDelay <= 0 {
+// remoteMarginOf returns by which part of its slots a server of another zone must be less
+// in use to be preferred. A zone that may be cut off is used only when the own one is full.
+// Entries that exchange loads directly do so with all zones: they know the own zone's loads
+// much better than those of others, and each brings a large part of the zone's requests.
+func (b *Balancer) remoteMarginOf(now time.Time, zone string, service *routes.Service) float64 {
+	if service.Engine == nil || b.reportDelay <= 0 || now.Before(b.zoneFailedUntil[zone]) {
 		return 1
 	}
 	return remoteMargin
 }
 
+// observeZone records the outcome of a request at a server of another zone. If the zone
+// is cut off, each of its servers would otherwise cost the time of a failed attempt.
+func (b *Balancer) observeZone(now time.Time, zone string, result Result) {
+	if result == Unresponsive && zone != b.zone {
+		b.zoneFailedUntil[zone] = now.Add(zoneFailureDuration)
+	}
+}
+
 // SetReportDelay sets how old the loads of the other entries are on average when a
 // server is chosen by them. It is 0 if the zone's entries exchange them directly.
 func (b *Balancer) SetReportDelay(delay time.Duration) {
--- a/internal/dispatch/spread_test.go
+++ b/internal/dispatch/spread_test.go
@@ -280,3 +280,26 @@
 	require.Less(t, z.arrived-z.onTime-before, 60)
 	require.Zero(t, z.rejected)
 }
+
+// Guards against a zone that is cut off and costs each request the time of a failed
+// attempt at another one of its servers.
+func TestAZoneThatMayBeCutOffIsUsedLess(t *testing.T) {
+	z := newZones(true, 1, 2, "a", "b")
+	b := z.entries[0].balancer
+	b.SetPeerLoads(map[registry.Incarnation]dispatch.PeerLoad{
+		{ID: "a-0", StartTime: 1}: {InFlight: zoneSlots / 2}, {ID: "a-1", StartTime: 1}: {InFlight: zoneSlots / 2},
+	})
+	remote := b.Reserve(start, notes)
+	require.Equal(t, "b", remote.Server.Zone)
+	remote.Release(start, dispatch.Unresponsive)
+	for range 5 {
+		require.Equal(t, "a", b.Reserve(start.Add(time.Second), notes).Server.Zone)
+	}
+	later := map[string]bool{}
+	for range 20 {
+		if r := b.Reserve(start.Add(4*time.Second), notes); r != nil {
+			later[r.Server.Zone] = true
+		}
+	}
+	require.True(t, later["b"])
+}
