Bound the queues that requests make by naming models

Callers that stated ever new models made the gateway exceed its memory: 12,000 requests with names of 15 kB each took 237 MB of an instance with 96 MB, and stayed so after the callers had gone. Such a process is ended by its platform, with all streams in progress.

Each model that a request named got a queue, which was never removed. Now idle queues are removed when there are 64. A queue is idle if no request waits in it and none has started in the last 3 s; only the times of its latest arrivals are lost with it.

--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -95,6 +96,11 @@
 	}
 }
 
+// maxIdleQueues limits the queues that are kept, unless more of them are in use. Callers
+// state the model, so without a limit they could make an entry keep any number of names.
+// It is above the models of all services that one entry serves.
+const maxIdleQueues = 64
+
 // Queues holds one queue for each service and model.
 type Queues struct {
 	mu        sync.Mutex
@@ -119,6 +125,10 @@
 	key := queueKey{service, model}
 	queue := s.queues[key]
 	if queue == nil {
+		if len(s.queues) >= maxIdleQueues {
+			// A request that is about to wait in such a queue dispatches it itself.
+			maps.DeleteFunc(s.queues, func(_ queueKey, q *Queue) bool { return q.idle() })
+		}
 		var opts []admission.Option
 		if s.byUrgency {
 			opts = append(opts, admission.ByUrgency())
@@ -172,5 +182,16 @@
 	}
 }
 
+// idle reports whether no request waits and none has started in flowWindow.
+func (q *Queue) idle() bool {
+	if q.waiters.Length() > 0 {
+		return false
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.flow.trim(q.now())
+	return len(q.waiting) == 0 && len(q.flow.starts) == 0
+}
+
 // Length returns the number of waiting requests.
 func (q *Queue) Length() int { return q.waiters.Length() }
