Remember requests by a hash in the meter of the demand

Requests with long IDs made the gateway exceed its memory: 12,000 requests with IDs of 15 kB took 176 MB of an instance with 96 MB. Such a process is ended by its platform, with all streams in progress.

To recognise the retries of callers, the meter remembers up to 8,192 requests. For a request without prompt parts it kept the whole request ID, and a part of the prompt kept the header that it was cut from. It now keeps a hash of 64 bits. Two of 8,192 requests have the same one with a probability of 2e-12, and one of them is then not counted. The number of requests is as before, so no setting changes.

--- a/internal/demand/meter.go
+++ b/internal/demand/meter.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"hash/maphash"
 	"maps"
 	"math"
 	"slices"
@@ -57,8 +58,10 @@
 	// start is when the first request arrived.
 	start  time.Time
 	models map[string]*window
-	// contents holds until when the repetitions of a request are not counted.
-	contents map[string]time.Time
+	// contents holds until when the repetitions of a request are not counted, by a hash
+	// of its content's ID, which may be as long as a request's head.
+	contents map[uint64]time.Time
+	seed     maphash.Seed
 	prunedAt time.Time
 }
 
@@ -71,7 +74,7 @@
 
 // NewMeter returns a Meter without requests.
 func NewMeter() *Meter {
-	return &Meter{models: make(map[string]*window), contents: make(map[string]time.Time)}
+	return &Meter{models: make(map[string]*window), contents: make(map[uint64]time.Time), seed: maphash.MakeSeed()}
 }
 
 // Record counts a request that arrives at now, whether or not it is served. The retry
@@ -108,15 +111,16 @@
 	if r.Content == "" {
 		return false
 	}
-	if until, found := m.contents[r.Content]; found && now.Before(until) {
+	content := maphash.String(m.seed, r.Content)
+	if until, found := m.contents[content]; found && now.Before(until) {
 		return true
 	}
 	if len(m.contents) >= maxContents && now.Sub(m.prunedAt) >= pruneInterval {
 		m.prunedAt = now
-		maps.DeleteFunc(m.contents, func(_ string, until time.Time) bool { return !now.Before(until) })
+		maps.DeleteFunc(m.contents, func(_ uint64, until time.Time) bool { return !now.Before(until) })
 	}
 	if len(m.contents) < maxContents {
-		m.contents[r.Content] = now.Add(r.Timeout)
+		m.contents[content] = now.Add(r.Timeout)
 	}
 	return false
 }
