Keep descriptors free for the connections to backend servers

360 callers with a request in progress at a time took all 1,024 descriptors of a gateway. It then accepted no connections, sent no orders to servers, took servers that it could not reach for dead, and rejected other callers' requests with 503 although their servers were idle.

Callers could open 512 connections. Each uses one to a backend server at a time, and the ones to the servers of earlier requests are kept for 4 s beside them, without a limit. Now callers' connections may take three eighths of the descriptors, and from as many on, each new connection to a backend server closes the idle one that expires first. With 4,100 descriptors, callers may have 1,537 connections instead of 2,050.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -58,6 +58,9 @@
 	// open is the number of open connections, idle or not, including those that
 	// are being opened.
 	open map[Server]int
+	// total is the sum of open. From maxTotal on, idle connections make room for new
+	// ones; 0 means no limit.
+	total, maxTotal int
 	// opened counts the attempts to open a connection.
 	opened int64
 }
@@ -75,6 +78,12 @@
 	return func(p *Pool) { p.now = now }
 }
 
+// WithMaxTotal sets the number of connections to all servers from which an idle one is
+// closed for each new one. It does not limit those in use.
+func WithMaxTotal(n int) Option {
+	return func(p *Pool) { p.maxTotal = n }
+}
+
 // NewPool returns an empty Pool.
 func NewPool(opts ...Option) *Pool {
 	p := &Pool{
@@ -122,7 +131,11 @@
 		p.mu.Unlock()
 		return nil, ErrConnectionLimit
 	}
+	if p.maxTotal > 0 && p.total >= p.maxTotal {
+		p.evictOldest()
+	}
 	p.open[s]++
+	p.total++
 	p.opened++
 	p.mu.Unlock()
 	raw, err := p.dial(ctx, "tcp", s.Address)
@@ -169,6 +182,20 @@
 	return true
 }
 
+// evictOldest closes the idle connection that expires first, if there is one. The caller
+// holds p.mu.
+func (p *Pool) evictOldest() {
+	var oldest *conn
+	for _, list := range p.idle {
+		if len(list) > 0 && (oldest == nil || list[0].idleUntil.Before(oldest.idleUntil)) {
+			oldest = list[0]
+		}
+	}
+	if oldest != nil {
+		p.evictIdle(oldest.server)
+	}
+}
+
 // put adds a connection to the idle ones. serverTimeout is the server's
 // keep-alive timeout, or 0 if it is unknown.
 func (p *Pool) put(c *conn, serverTimeout time.Duration) {
@@ -191,6 +218,7 @@
 
 // decrement counts one connection to the server as closed. The caller holds p.mu.
 func (p *Pool) decrement(s Server) {
+	p.total--
 	if p.open[s] > 1 {
 		p.open[s]--
 		return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -149,18 +149,19 @@
 // stay open.
 func New(s settings.Gateway, p Platform, logger *logrus.Logger, opts ...Option) (*Gateway, error) {
 	o := newOptions(opts)
-	var poolOptions []backend.Option
+	metrics := newMetrics()
+	clients := newClientLimits(&s.Limits, metrics, logger)
+	poolOptions := []backend.Option{backend.WithMaxTotal(connLimit(s.Limits, backendConnShare))}
 	if o.dial != nil {
 		poolOptions = append(poolOptions, backend.WithDial(o.dial))
 	}
 	g := &Gateway{
 		options:  o,
-		platform: p, logger: logger, metrics: newMetrics(),
+		platform: p, logger: logger, metrics: metrics, clients: clients,
 		queues: dispatch.NewQueues(maxQueueLength, time.Now),
 		pool:   backend.NewPool(poolOptions...), returns: admission.NewReturns(), budgets: make(map[string]*retry.SlidingWindow),
 		unrecordedLogged: make(map[string]time.Time), earlyLoggedAt: make(map[string]time.Time),
 	}
-	g.clients = newClientLimits(&s.Limits, g.metrics, logger)
 	g.limits = newLimits(g)
 	g.limits.publish(g.metrics.vars)
 	g.balancer = dispatch.NewBalancer(s.Zone, dispatch.WithGrants(g.limits.holder), dispatch.WithDrainTime(s.Bounds.Drain))
--- a/internal/gateway/listeners.go
+++ b/internal/gateway/listeners.go
@@ -9,16 +9,19 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/hibiscuspulley/hibiscuspulley/internal/event"
+	"github.com/hibiscuspulley/hibiscuspulley/internal/settings"
 )
 
 const (
 	// callerConnShare, peerConnShare and otherConnShare are the shares of the process's
 	// descriptors that the connections to a listener may take: of callers, of other
-	// entries, and for readiness and metrics. The rest is for the connections to backend
-	// servers and the store.
-	callerConnShare = 1.0 / 2
-	peerConnShare   = 1.0 / 8
-	otherConnShare  = 1.0 / 32
+	// entries, and for readiness and metrics. backendConnShare is that of the connections
+	// to backend servers, of which each caller's connection uses one at a time. The rest
+	// is for the store, probes, orders and the connections that this entry opens to others.
+	callerConnShare  = 3.0 / 8
+	backendConnShare = callerConnShare
+	peerConnShare    = 1.0 / 8
+	otherConnShare   = 1.0 / 32
 	// smallHeaderBytes limits the size of a request's header on the listeners for other
 	// clients than callers.
 	smallHeaderBytes = 8 << 10
@@ -77,7 +80,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", address)
 	}
-	l = g.clients.Listen(l, int(connShare*float64(g.settings.Limits.Descriptors)))
+	l = g.clients.Listen(l, connLimit(g.settings.Limits, connShare))
 	g.servers = append(g.servers, s)
 	g.spawn(func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !g.stopping.Load() {
@@ -87,6 +90,11 @@
 	return l, nil
 }
 
+// connLimit returns how many connections a share of the process's descriptors allows.
+func connLimit(l settings.GatewayLimits, share float64) int {
+	return int(share * float64(l.Descriptors))
+}
+
 // Ready reports whether the load balancer should send new connections to the
 // entry. It needs server records, the quarantine and a recently confirmed
 // configuration, and is false during shutdown.
