--- a/internal/dispatch/spread_test.go
+++ b/internal/dispatch/spread_test.go
@@ -58,7 +58,8 @@
 
 type simGroup struct {
 	running, queue []*simRequest
-	taken          int
+	// taken counts the arrivals.
+	taken int
 }
 
 // newZones returns zones with so many entries and groups each. If stale is not set, the
@@ -200,8 +201,9 @@
 
 func (z *zones) onTimeShare() float64 { return float64(z.onTime) / float64(z.arrived) }
 
-func evenly(total float64, entries int) func(time.Duration, int) float64 {
-	return func(time.Duration, int) float64 { return total / float64(entries) }
+// evenly returns the rate of each entry if so many requests a second arrive at all.
+func (z *zones) evenly(total float64) func(time.Duration, int) float64 {
+	return func(time.Duration, int) float64 { return total / float64(len(z.entries)) }
 }
 
 // Guards against entries that all send to the server which had the least load when the
@@ -211,7 +213,7 @@
 	share := make(map[bool]float64)
 	for _, stale := range []bool{false, true} {
 		z := newZones(stale, 25, 8, "a")
-		z.play(20*time.Second, evenly(160, 25))
+		z.play(20*time.Second, z.evenly(160))
 		share[stale] = z.onTimeShare()
 		t.Logf("stale loads considered %v: %d requests, %.3f on time, %d at a full group", stale, z.arrived, share[stale], z.overfull)
 	}
@@ -245,7 +247,7 @@
 	onTime, overfull := make(map[bool]int), make(map[bool]int)
 	for _, stale := range []bool{false, true} {
 		z := newZones(stale, 25, 8, "a")
-		z.play(20*time.Second, evenly(300, 25))
+		z.play(20*time.Second, z.evenly(300))
 		onTime[stale], overfull[stale] = z.onTime, z.overfull
 		t.Logf("stale loads considered %v: %d requests, %d on time, %d late, %d rejected, %d at a full group", stale, z.arrived, z.onTime, z.late, z.rejected, z.overfull)
 	}
@@ -257,13 +259,13 @@
 // are three quarters full.
 func TestAGroupThatOpensIsNotFlooded(t *testing.T) {
 	z := newZones(true, 25, 8, "a")
-	z.play(3*time.Second, evenly(150, 25))
+	z.play(3*time.Second, z.evenly(150))
 	opened := z.groups["a-0"]
 	for _, r := range opened.running {
 		r.reservation.Release(z.now, dispatch.Served)
 	}
 	opened.running, opened.taken = nil, 0
-	z.play(200*time.Millisecond, evenly(150, 25))
+	z.play(200*time.Millisecond, z.evenly(150))
 	// It prefills 125 prompts a second.
 	require.Less(t, opened.taken, 18)
 	require.Greater(t, opened.taken, 4)
@@ -273,10 +275,10 @@
 // and then each entry serves by what it knows itself.
 func TestEntriesServeWithoutReports(t *testing.T) {
 	z := newZones(true, 25, 8, "a")
-	z.play(3*time.Second, evenly(120, 25))
+	z.play(3*time.Second, z.evenly(120))
 	z.silentSince = z.now
 	before := z.arrived - z.onTime
-	z.play(10*time.Second, evenly(120, 25))
+	z.play(10*time.Second, z.evenly(120))
 	require.Less(t, z.arrived-z.onTime-before, 60)
 	require.Zero(t, z.rejected)
 }
