Don't keep a pace for each model that callers state

Each model name of a request made an entry keep a token bucket, also without any group of that model: 10,000 requests with names of 10 kB took 104 MB. A model without groups in the zone has no pace now.

TestUnknownModelsAreNotKept failed before (104 MB, 10 allowed).

--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -86,12 +86,17 @@
 	if took <= 0 {
 		return true
 	}
+	z := b.zoneLoad(now, service, model)
+	if z.slots == 0 {
+		// Callers state the model, so that a pace for each name would keep any number of them.
+		delete(b.paces, model)
+		return true
+	}
 	p := b.paces[model]
 	if p == nil {
 		p = &pace{tokens: 1, at: now}
 		b.paces[model] = p
 	}
-	z := b.zoneLoad(now, service, model)
 	window := correctionSpan * b.reportDelay.Seconds()
 	share := b.share(model)
 	free, freed := float64(z.slots-z.inFlight), float64(z.running)/took
--- a/internal/dispatch/spread_test.go
+++ b/internal/dispatch/spread_test.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -283,6 +286,25 @@
 	require.Zero(t, z.rejected)
 }
 
+// Guards against an entry that keeps the names of all models that callers state, for which
+// there are no groups.
+func TestUnknownModelsAreNotKept(t *testing.T) {
+	b := newZones(true, 1, 2, "a").entries[0].balancer
+	heap := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	before := heap()
+	for i := range 10_000 {
+		model := strings.Repeat("m", 10_000) + strconv.Itoa(i)
+		require.Nil(t, b.Reserve(start, dispatch.Requirements{Service: "notes", Model: model}))
+	}
+	require.Less(t, heap(), before+10_000_000)
+	require.Zero(t, b.Pace("m"))
+}
+
 // Guards against a zone that is cut off and costs each request the time of a failed
 // attempt at another one of its servers.
 func TestAZoneThatMayBeCutOffIsUsedLess(t *testing.T) {
