--- a/review/harness-2/store.go
+++ b/review/harness-2/store.go
@@ -24,7 +24,7 @@
 	Deleted bool   `json:"deleted,omitempty"`
 }
 
-// transaction is the body of a rows-tx call.
+// transaction is the body of a call that changes rows.
 type transaction struct {
 	Precondition []row `json:"precondition"`
 	Writes       []row `json:"writes"`
@@ -90,11 +90,11 @@
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(3 * time.Millisecond)
 	switch r.URL.Path {
-	case "/hibiscuspulley/rows-tx":
+	case pathTransaction:
 		s.serveTransaction(w, r)
-	case "/hibiscuspulley/rows-get":
+	case pathGet:
 		s.serveGet(w, r)
-	case "/hibiscuspulley/rows-feed":
+	case pathFeed:
 		s.serveFeed(w, r)
 	default:
 		http.NotFound(w, r)
--- a/review/harness-2/two.go
+++ b/review/harness-2/two.go
@@ -43,7 +43,7 @@
 		w.record.add("another writer's record agent-1 names the address of %s", head.id)
 		w.store.put("servers", "agent-1", map[string]any{
 			"service": "host-agent", "address": head.addr, "zone": "addis-a", "version": "v1", "slots": 1,
-			"state": "ready", "coldRemainingMs": 0, "seq": 1, "born": time.Now().UnixMilli(),
+			"state": "ready", fieldCold: 0, "seq": 1, "born": time.Now().UnixMilli(),
 		})
 	}
 	time.Sleep(3 * time.Second)
--- a/review/harness-2/world.go
+++ b/review/harness-2/world.go
@@ -118,16 +118,16 @@
 		"routes": []map[string]any{
 			{
 				"name": "r-stream", "host": host, "prefix": "/lohu930/", "kind": "streaming", "timeoutMs": 8000,
-				"targetLatencyMs": 400, "priority": 1, "service": notes, "maxAttempts": w.maxAttempts, "public": false,
-				"sessionAffinity": true, "streamResumption": true, "gapAimMs": 300,
+				fieldObjective: 400, "priority": 1, "service": notes, "maxAttempts": w.maxAttempts, "public": false,
+				"sessionAffinity": true, fieldResumption: true, fieldGap: 300,
 			},
 			{
 				"name": "r-unsafe", "host": host, "prefix": "/puxa403/", "kind": "unsafe", "timeoutMs": 3000,
-				"targetLatencyMs": 300, "priority": 2, "service": yard, "maxAttempts": 1, "public": false,
+				fieldObjective: 300, "priority": 2, "service": yard, "maxAttempts": 1, "public": false,
 			},
 			{
 				"name": "r-safe", "host": host, "prefix": "/cufi504/", "kind": "safe", "timeoutMs": 3000,
-				"targetLatencyMs": 300, "priority": 2, "service": yard, "maxAttempts": 2, "public": false,
+				fieldObjective: 300, "priority": 2, "service": yard, "maxAttempts": 2, "public": false,
 			},
 		},
 		"services": []map[string]any{
@@ -137,7 +137,7 @@
 				"engine": map[string]any{
 					"slots": modelSlots, "kvCacheTokens": w.memory, "kvTokenBytes": 96256, "linkBandwidthMbps": 400000.0,
 					"stride": 5, "step_ms": 7.8, "per_seq_ms": 0.0947, "context_per_k": 0.0096, "read_per_s": 45900.0,
-					"pairs_per_m": 0.433, "chunk": 2048, "report_lag_ms": 200.0, "loadsPerS": 5.0, "loads_at_once": 7,
+					"pairs_per_m": 0.433, "chunk": 2048, "report_lag_ms": 200.0, "loadsPerS": 5.0, fieldLoads: 7,
 					"models": []map[string]any{
 						{"name": modelName, "size": groupSize, "share": 1.0, "pace": 1.0, "loadS": 12.0, "warmS": 1.1},
 					},
@@ -220,8 +220,8 @@
 	r.Host = host
 	part := fmt.Sprintf("%08x", rand.Uint32())
 	for name, value := range map[string]string{
-		"Request-Id": id, "Model": modelName, "Token-Counts": fmt.Sprint(promptTokens, ",154"), "Prompt-Prefix": "5c1e07a2:40," + fmt.Sprint(part, ":", promptTokens-40),
-		"Deadline-Ms": "8000", "Authorization": "Token " + callerKey, "Accept-Encoding": "identity",
+		"Request-Id": id, "Model": modelName, headerTokens: fmt.Sprint(promptTokens, ",154"), headerPrefix: "5c1e07a2:40," + fmt.Sprint(part, ":", promptTokens-40),
+		headerDeadline: "8000", "Authorization": "Token " + callerKey, "Accept-Encoding": "identity",
 	} {
 		r.Header.Set(name, value)
 	}
