Add review case 7: requests go to a foreign record's address

Cause, as far as known: a record of another writer that lacks fields is used as a server, and an unsigned failure of whatever answers at its address is handed to the caller.

The case is a script: one record that lacks slots, version and count names the plain service and the address of a server that is no replica and answers 404.

--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -18,9 +18,10 @@
 )
 
 var cases = map[string]func(root, dir string) (*world, error){
-	"6": preemptedDuringShutdown,
-	"7": oddRecordAtALeadersAddress,
-	"9": lostAnswersOfStreams,
+	"6":  preemptedDuringShutdown,
+	"7":  recordOfAnotherWriter,
+	"8":  oddRecordAtALeadersAddress,
+	"10": lostAnswersOfStreams,
 }
 
 func main() {
