Log what explains a stream that was cut, and panics with their request

The outcome line of a failed stream now has the age of its last event (idle-ms), and its attempts say whether a server that turned it away has not run it and for how long it asks. A panic of a handler went to standard error without the request's ID; it is event 104 now. Event 110 names the callers' connections that a stop closes while a request or response is in progress.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -76,13 +76,14 @@
 	RequestServed            = Event{503, logrus.InfoLevel, "request served"}
 	EvacuatedZonesChanged    = Event{607, logrus.InfoLevel, "set of evacuated zones changed"}
 	ClientCutOff             = Event{109, logrus.WarnLevel, "client's connection closed to make room for others"}
+	ConnectionsCutOff        = Event{110, logrus.WarnLevel, "callers' connections closed at the end of the shutdown with a request or response in progress"}
 	ShutdownTimedOut         = Event{105, logrus.WarnLevel, "requests in flight were cut off at the shutdown timeout"}
 )
 
 // All returns every event.
 func All() []Event {
 	return []Event{
-		Started, Stopping, Stopped, ListenerFailed, HandlerPanicked, ClientCutOff, ShutdownTimedOut,
+		Started, Stopping, Stopped, ListenerFailed, HandlerPanicked, ClientCutOff, ShutdownTimedOut, ConnectionsCutOff,
 		PlatformUnreachable, PlatformReachable, SessionOpened, SessionLost, SessionLapsed, SessionRelayed, RowInvalid,
 		PeerConnected, PeerLost, PeerRejected, RowSourceChanged,
 		GroupFormed, GroupTakenOver, GroupComplete, GroupIncomplete, GroupRepaired,
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 )
 
@@ -33,3 +34,15 @@
 	defer c.mu.Unlock()
 	return len(c.conns)
 }
+
+// addresses returns the callers' addresses of the connections that are busy.
+func (c *connStates) addresses() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	addresses := make([]string, 0, len(c.conns))
+	for conn := range c.conns {
+		addresses = append(addresses, conn.RemoteAddr().String())
+	}
+	slices.Sort(addresses)
+	return addresses
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"time"
@@ -112,6 +114,7 @@
 	}
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
+	defer g.logPanic(c)
 	if g.stopping() && !g.acceptsAt(c.started) {
 		g.reject(w, c, http.StatusServiceUnavailable, staleRetryAfter, "the entry is shutting down")
 		return
@@ -136,6 +139,21 @@
 	g.servePlain(ctx, w, c)
 }
 
+// logPanic logs a panic of the handler, which must call it directly by defer. The
+// connection is closed without a response.
+func (g *Gateway) logPanic(c *call) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause != http.ErrAbortHandler {
+		event.HandlerPanicked.Log(g.logger, logrus.Fields{
+			"request": c.info.ID, "cause": fmt.Sprint(cause), "attempts": strings.Join(c.attemptNotes, "; "), "stack": string(debug.Stack()),
+		})
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // admit checks the request against the configuration, reads its body and sets
 // the fields of c that forwarding needs. If the request can't be forwarded, it
 // sends the response and returns false.
@@ -293,6 +311,9 @@
 	}
 	if reason != "" {
 		fields["reason"] = reason
+		if c.delivered > 0 {
+			fields["idle-ms"] = time.Since(c.lastAt).Milliseconds()
+		}
 		event.RequestFailed.Log(g.logger, fields)
 		return
 	}
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -50,6 +50,9 @@
 	if g.inFlight.Load() > 0 {
 		g.closeCallers(ctx, g.graceTime(endFraction))
 	}
+	if addresses := g.callerConns.addresses(); len(addresses) > 0 {
+		event.ConnectionsCutOff.Log(g.logger, logrus.Fields{"connections": len(addresses), "addresses": addresses})
+	}
 	g.cancel()
 	for _, s := range g.servers {
 		_ = s.Close()
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -195,6 +195,9 @@
 				}
 			},
 			DecodeResponse: func(h http.Header, status int) gateway.ResponseInfo {
+				if h.Get("Panic") != "" {
+					panic("decode the response")
+				}
 				s, _ := strconv.ParseFloat(h.Get("Retry-After"), 64) // absent means no wait
 				if status != http.StatusServiceUnavailable {
 					s = 0
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -249,7 +249,7 @@
 			return streamBroken, err.Error()
 		}
 		x.Finish()
-		reason := "status " + strconv.Itoa(x.Response.StatusCode)
+		reason := describeError(x.Response.StatusCode, info)
 		if info.NotRun {
 			return streamRejected, reason
 		}
@@ -263,6 +263,18 @@
 	return s.relayEvents(ctx, x, res, watch)
 }
 
+// describeError describes a server's error response for the log.
+func describeError(status int, info ResponseInfo) string {
+	text := "status " + strconv.Itoa(status)
+	if info.NotRun {
+		text += ", not run"
+	}
+	if info.Wait > 0 {
+		text += ", asks for " + info.Wait.String()
+	}
+	return text
+}
+
 func (s *streamRelay) relayEvents(ctx context.Context, x *backend.Exchange, res *dispatch.Reservation, watch *watchdog) (streamResult, string) {
 	c := s.call
 	continues, resumed := s.headerSent, false
