Write a stopping gateway's last log lines

The gateway waited 200 ms for its log output when it had stopped, and dropped lines beyond 400 a second, so the lines of requests that end together at the end of a stop could be missing. It now waits for a sixteenth of the grace time, which the stop leaves, and doesn't limit lines during a stop.

--- a/internal/command/gateway/gateway.go
+++ b/internal/command/gateway/gateway.go
@@ -28,8 +28,10 @@
 	// maxLogLinesPerSecond limits the log; a busy entry writes about 100 lines
 	// per second.
 	maxLogLinesPerSecond = 400
-	// logDrainTimeout limits how long shutdown waits for a blocked log output.
-	logDrainTimeout   = 200 * time.Millisecond
+	// logDrainFraction is the fraction of the grace time for which a stopped entry waits
+	// for a slow log output. minLogDrain is the shortest such time.
+	logDrainFraction  = 1.0 / 16
+	minLogDrain       = 200 * time.Millisecond
 	maxIdleStoreConns = 6
 	// heapFraction is the fraction of the instance's memory above which the Go
 	// runtime collects garbage more often. The program's code and the kernel's
@@ -67,7 +69,7 @@
 		return err
 	}
 	logOutput := decisionlog.NewWriter(opts.Factory.Out, maxLogLinesPerSecond)
-	defer logOutput.Close(logDrainTimeout)
+	defer logOutput.Close(max(minLogDrain, time.Duration(logDrainFraction*float64(s.Bounds.Grace))))
 	logger := logrus.New()
 	logger.SetOutput(logOutput)
 	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
@@ -89,6 +91,7 @@
 		case <-hangups:
 			reload(opts, s, logger)
 		case <-ctx.Done():
+			logOutput.Unlimit()
 			g.Shutdown(context.WithoutCancel(ctx))
 			return nil
 		}
--- a/internal/command/gateway/gateway_test.go
+++ b/internal/command/gateway/gateway_test.go
@@ -116,3 +116,30 @@
 		require.ErrorContains(t, err, want)
 	}
 }
+
+// slowOutput takes the last line only after a delay, like a pipe whose reader is busy.
+type slowOutput struct{ syncBuffer }
+
+func (s *slowOutput) Write(p []byte) (int, error) {
+	if bytes.Contains(p, []byte(`"event":102`)) {
+		time.Sleep(500 * time.Millisecond)
+	}
+	return s.syncBuffer.Write(p)
+}
+
+// Guards against the loss of the last lines of a process whose log output is slow: the
+// grace time leaves room for them.
+func TestLastLinesReachASlowOutput(t *testing.T) {
+	addresses, err := loopback.Unused(2)
+	require.NoError(t, err)
+	file := filepath.Join(t.TempDir(), "settings.json")
+	require.NoError(t, os.WriteFile(file, fmt.Appendf(nil, `{
+		"name": "a-1", "zone": "a", "caller-address": %q, "readiness-address": %q,
+		"store-address": "127.0.0.1:1", "bounds": {"grace": "16s"}
+	}`, addresses[0], addresses[1]), 0o600))
+	out := &slowOutput{}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.NoError(t, gateway.Run(ctx, &gateway.Options{Factory: &factory.Factory{Out: out, Err: io.Discard}, SettingsFile: file}))
+	require.Contains(t, out.String(), `"event":102`)
+}
--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -58,6 +58,10 @@
 	return len(line), nil
 }
 
+// Unlimit ends the rate limit, so that only a full queue drops lines. It is called before
+// the last lines of a process, which are bounded by its requests in flight.
+func (w *Writer) Unlimit() { w.limiter.SetLimit(rate.Inf) }
+
 // Dropped returns the number of lines dropped since the last report in the log.
 func (w *Writer) Dropped() int64 { return w.dropped.Load() }
 
--- a/internal/decisionlog/decisionlog_test.go
+++ b/internal/decisionlog/decisionlog_test.go
@@ -60,3 +60,16 @@
 	require.LessOrEqual(t, strings.Count(out.text(), "line\n"), 20)
 	require.Contains(t, out.text(), `"lines":`)
 }
+
+// Guards against the loss of a process's last lines, which come in a burst.
+func TestLastLinesAreNotLimited(t *testing.T) {
+	out := &blockedOutput{release: make(chan struct{})}
+	close(out.release)
+	w := decisionlog.NewWriter(out, 10)
+	w.Unlimit()
+	for range 1000 {
+		_, _ = w.Write([]byte("line\n")) // never fails
+	}
+	w.Close(time.Minute)
+	require.Equal(t, 1000, strings.Count(out.text(), "line\n"))
+}
