--- a/internal/fleet/scenarios_test.go
+++ b/internal/fleet/scenarios_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/hibiscuspulley/hibiscuspulley/internal/fleet"
@@ -436,6 +437,37 @@
 	})
 }
 
+// Guards against responses that are cut because their replica is silent for a while and
+// the others are full.
+func TestResponsesSurviveASilentReplicaWhileTheOtherIsFull(t *testing.T) {
+	for _, pause := range []time.Duration{2600 * time.Millisecond, 5 * time.Second, 12 * time.Second, 20 * time.Second} {
+		t.Run(pause.String(), func(t *testing.T) {
+			plan := oneZone()
+			plan.Speed.TokenInterval = 50 * time.Millisecond
+			runWithFleet(t, plan, func(ctx context.Context, t *testing.T, f *fleet.Fleet) {
+				time.Sleep(5 * time.Second) // the groups are warm
+				var responses sync.WaitGroup
+				for n := range 2 * plan.Speed.Slots {
+					prompt := fmt.Sprint("note ", n)
+					responses.Go(func() {
+						got := generate(ctx, f, f.Entries()[n%2], prompt, 200)
+						assert.NoError(t, got.Err)
+						assert.True(t, got.Complete)
+						assert.Equal(t, standin.ExpectedResponse(prompt, 200), got.Text)
+					})
+				}
+				time.Sleep(3 * time.Second)
+				silent := leaders(f)[0]
+				require.Equal(t, plan.Speed.Slots, leaders(f)[1].Engine.Running())
+				silent.Engine.SetFaults(standin.EngineFaults{Paused: true})
+				time.Sleep(pause)
+				silent.Engine.SetFaults(standin.EngineFaults{})
+				responses.Wait()
+			})
+		})
+	}
+}
+
 // TestContinuedResponseIsResumed covers a stream that breaks in a request that
 // already continues a partial message, such as one forwarded by another entry.
 func TestContinuedResponseIsResumed(t *testing.T) {
