Log cut streams as an event of their own, which is never dropped

The log drops lines beyond 400 a second, and with many rejections among them the line of a stream that was cut could be lost outside of stops too. Cut streams are event 508 now, an error, and the limit doesn't apply to errors. Its reason tells whether the entry was shutting down, the request's time was over, or no server continued the stream.

TestErrorsAreNotLimited failed before; TestTheLogExplainsACutStream looks for the new event.

--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -4,6 +4,7 @@
 package decisionlog
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync/atomic"
@@ -19,6 +20,9 @@
 	reportInterval = time.Second
 )
 
+// errorLevel is in each line of the level error. JSON escapes quotes within values.
+var errorLevel = []byte(`"level":"error"`)
+
 // Writer forwards lines to an output in the background.
 type Writer struct {
 	lines   chan []byte
@@ -43,9 +47,9 @@
 }
 
 // Write implements io.Writer. Each call queues one line or drops it, and never
-// returns an error.
+// returns an error. The rate limit doesn't apply to errors, which are few.
 func (w *Writer) Write(line []byte) (int, error) {
-	if !w.limiter.Allow() {
+	if !w.limiter.Allow() && !bytes.Contains(line, errorLevel) {
 		w.dropped.Add(1)
 		return len(line), nil
 	}
@@ -59,7 +63,8 @@
 }
 
 // Unlimit ends the rate limit, so that only a full queue drops lines. It is called before
-// the last lines of a process, which are bounded by its requests in flight.
+// the last lines of a process: callers that come back to be rejected again must not use up
+// what is left for the outcomes of requests in flight.
 func (w *Writer) Unlimit() { w.limiter.SetLimit(rate.Inf) }
 
 // Dropped returns the number of lines dropped since the last report in the log.
--- a/internal/decisionlog/decisionlog_test.go
+++ b/internal/decisionlog/decisionlog_test.go
@@ -73,3 +73,17 @@
 	w.Close(time.Minute)
 	require.Equal(t, 1000, strings.Count(out.text(), "line\n"))
 }
+
+// Guards against the loss of errors, such as a stream that was cut, among many other lines.
+func TestErrorsAreNotLimited(t *testing.T) {
+	out := &blockedOutput{release: make(chan struct{})}
+	close(out.release)
+	w := decisionlog.NewWriter(out, 10)
+	for range 1000 {
+		_, _ = w.Write([]byte("{\"level\":\"warning\"}\n")) // never fails
+	}
+	_, _ = w.Write([]byte("{\"level\":\"error\",\"msg\":\"cut\"}\n"))
+	w.Close(time.Minute)
+	require.Contains(t, out.text(), "\"cut\"")
+	require.LessOrEqual(t, strings.Count(out.text(), "warning"), 20)
+}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -73,6 +73,7 @@
 	PartQuarantined          = Event{505, logrus.WarnLevel, "prompt part in quarantine: requests with it are rejected"}
 	PartReleased             = Event{506, logrus.InfoLevel, "prompt part released from quarantine"}
 	PartTried                = Event{507, logrus.InfoLevel, "prompt part in quarantine: one request may try it"}
+	StreamCut                = Event{508, logrus.ErrorLevel, "stream was cut: its response ended in the middle"}
 	RequestServed            = Event{503, logrus.InfoLevel, "request served"}
 	EvacuatedZonesChanged    = Event{607, logrus.InfoLevel, "set of evacuated zones changed"}
 	ClientCutOff             = Event{109, logrus.WarnLevel, "client's connection closed to make room for others"}
@@ -88,7 +89,7 @@
 		PeerConnected, PeerLost, PeerRejected, RowSourceChanged,
 		GroupFormed, GroupTakenOver, GroupComplete, GroupIncomplete, GroupRepaired,
 		GroupReformed, GroupReleased, OrderFailed, GroupSuperseded, QuarantineEnded, GroupHandedOver,
-		StreamResumed, WrongEventRejected, RequestFailed, AttemptBroken, PartQuarantined, PartReleased, PartTried,
+		StreamResumed, WrongEventRejected, RequestFailed, StreamCut, AttemptBroken, PartQuarantined, PartReleased, PartTried,
 		ConfigApplied, ConfigRejected, ConfigFromPeer, ConfigSnapshot, SnapshotFailed,
 		ProvisionalOrderAccepted, ProvisionalOrderRecorded,
 		LogLinesDropped, SettingsReloaded, SettingsRejected, ServerRecordChanged, ServerRecordStale, ControllerLeaseAcquired, ControllerLeaseLost, CallRejected, StoreRestored, StoreSettled,
--- a/internal/gateway/cut_stream_log_test.go
+++ b/internal/gateway/cut_stream_log_test.go
@@ -39,12 +39,12 @@
 		s.add("d2", "notes", "large", answer(503, "full", "Not-Run", "1", "Retry-After", "1.5"))
 		got := <-result
 		assert.Error(s.t, got.err)
-		lines := s.logs.lines(s.t, 502)
+		lines := s.logs.lines(s.t, 508)
 		if !assert.Len(s.t, lines, 1) {
 			return
 		}
 		assert.Equal(s.t, "stream-1", lines[0]["request"])
-		assert.Equal(s.t, "the stream was cut", lines[0]["reason"])
+		assert.Equal(s.t, "the stream was cut: no server continues it", lines[0]["reason"])
 		assert.Equal(s.t, float64(3), lines[0]["events"])
 		assert.InDelta(s.t, 1200, lines[0]["idle-ms"], 100)
 		assert.Regexp(s.t, `^d1 3 events in \d+ms .*EOF; d2 0 events in 0s status 503, not run, asks for 1\.5s; no replica group has capacity$`, lines[0]["attempts"])
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -311,6 +311,27 @@
 // reason means success; only then is the duration added to the metrics. A
 // status of 0 means that the caller disconnected.
 func (g *Gateway) logOutcome(c *call, status int, reason string) {
+	fields := g.outcomeFields(c, status)
+	if reason == "" {
+		g.metrics.served.observe(time.Since(c.started))
+		event.RequestServed.Log(g.logger, fields)
+		return
+	}
+	fields["reason"] = reason
+	event.RequestFailed.Log(g.logger, fields)
+}
+
+// logCut writes the log entry about a stream that is cut. Unlike other outcomes, the log
+// never drops it.
+func (g *Gateway) logCut(c *call, reason string) {
+	g.metrics.cut.Add(1)
+	fields := g.outcomeFields(c, http.StatusOK)
+	fields["reason"], fields["idle-ms"] = reason, time.Since(c.lastAt).Milliseconds()
+	event.StreamCut.Log(g.logger, fields)
+}
+
+// outcomeFields returns the log fields of a request that has ended.
+func (g *Gateway) outcomeFields(c *call, status int) logrus.Fields {
 	fields := logrus.Fields{
 		"request": c.info.ID, "status": status, "ms": time.Since(c.started).Milliseconds(),
 	}
@@ -335,16 +356,7 @@
 		g.addCapacity(fields, c)
 		g.addPrediction(fields, c)
 	}
-	if reason != "" {
-		fields["reason"] = reason
-		if c.delivered > 0 {
-			fields["idle-ms"] = time.Since(c.lastAt).Milliseconds()
-		}
-		event.RequestFailed.Log(g.logger, fields)
-		return
-	}
-	g.metrics.served.observe(time.Since(c.started))
-	event.RequestServed.Log(g.logger, fields)
+	return fields
 }
 
 // recordForwarded records the time at which an event was forwarded.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -272,8 +272,7 @@
 		g.logOutcome(c, 0, "the caller disconnected")
 		panic(http.ErrAbortHandler)
 	case s.header != nil:
-		g.metrics.cut.Add(1)
-		g.logOutcome(c, http.StatusOK, "the stream was cut")
+		g.logCut(c, s.cutReason(ctx))
 		panic(http.ErrAbortHandler)
 	case s.errorResponse != nil:
 		g.deliver(s.w, c, s.errorResponse)
@@ -287,3 +286,14 @@
 		g.reject(s.w, c, http.StatusBadGateway, 0, "the stream failed; the request may have run")
 	}
 }
+
+// cutReason tells why a stream is cut whose caller is still there.
+func (s *streamRelay) cutReason(ctx context.Context) string {
+	switch {
+	case s.gateway.graceOver.Err() != nil:
+		return "the stream was cut: the entry is shutting down"
+	case ctx.Err() != nil:
+		return "the stream was cut: timed out waiting for an event"
+	}
+	return "the stream was cut: no server continues it"
+}
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -66,7 +66,7 @@
 			continue // not a line of a gateway's log
 		}
 		switch rec.Event {
-		case event.GroupPhaseChanged.Number, event.RequestServed.Number, event.RequestFailed.Number:
+		case event.GroupPhaseChanged.Number, event.RequestServed.Number, event.RequestFailed.Number, event.StreamCut.Number:
 			records = append(records, rec)
 		}
 	}
@@ -112,7 +112,7 @@
 			point.Served++
 		case rec.Event == event.RequestFailed.Number && rec.Status == 503:
 			point.Rejected++
-		case rec.Event == event.RequestFailed.Number:
+		case rec.Event == event.RequestFailed.Number, rec.Event == event.StreamCut.Number:
 			point.Failed++
 		case rec.Phase == formation.Ended.String():
 			delete(groups, rec.Group)
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -17,6 +17,7 @@
 {"event":503,"status":200,"time":"2026-01-01T00:00:01.1Z"}
 {"event":502,"status":503,"time":"2026-01-01T00:00:03.1Z"}
 {"event":502,"status":504,"time":"2026-01-01T00:00:03.2Z"}
+{"event":508,"status":200,"time":"2026-01-01T00:00:03.3Z"}
 {"event":412,"group":"g1","model":"large","phase":"ending","time":"2026-01-01T00:00:01.5Z"}
 {"event":412,"group":"g1","model":"large","phase":"over","time":"2026-01-01T00:00:03.5Z"}
 `
@@ -32,7 +33,7 @@
 	require.Equal(t, 1, line.Points[1].Served)
 	require.Zero(t, line.Points[3].Groups["large"])
 	require.Equal(t, 1, line.Points[3].Rejected)
-	require.Equal(t, 1, line.Points[3].Failed)
+	require.Equal(t, 2, line.Points[3].Failed)
 }
 
 func TestATimelineIsDrawn(t *testing.T) {
