Don't end a stream as whole with a head that was cut off

Callers got a stream without its last events that looked whole. A server that was asked to continue the stream sent a head with neither a length nor chunks and closed the connection, which was taken for the end, though the silent server went on later. For a stream that has not begun this was a failure already; now it is one too if the response is to continue a stream and has no event.

Two cases of TestSilentStreamSurvivesAServerThatDoesNotContinueIt failed before.

--- a/internal/gateway/moved_stream_test.go
+++ b/internal/gateway/moved_stream_test.go
@@ -25,6 +25,11 @@
 	<-r.Context().Done()
 }
 
+// endsBehindHead sends the head of a stream without a length, and closes the connection.
+func endsBehindHead(w http.ResponseWriter, _ *http.Request) {
+	writeRaw(w, fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nReceipt: 1\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n", w.Header().Get("Id")))
+}
+
 // commentsOnly sends comments and no event.
 func commentsOnly(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Receipt", "1")
@@ -41,19 +46,20 @@
 func TestSilentStreamSurvivesAServerThatDoesNotContinueIt(t *testing.T) {
 	const count, pause = 20, 2600 * time.Millisecond
 	for name, second := range map[string]func(http.ResponseWriter, *http.Request){
-		"full":              answer(503, "full", "Not-Run", "1"),
-		"full for a second": answer(503, "full", "Not-Run", "1", "Retry-After", "1"),
-		"without promise":   answer(503, "full"),
-		"another server":    answer(421, "other"),
-		"failed":            answer(500, "failed"),
-		"not found":         answer(404, "none"),
-		"unsigned":          answer(200, "id: 4\ndata: event 4\n\n"),
-		"text":              answer(200, "failed\n\n", "Receipt", "1", "Content-Type", "text/plain"),
-		"resets":            reset,
-		"breaks off":        breakOff(0),
-		"silent":            silent,
-		"only a head":       headOnly,
-		"only comments":     commentsOnly,
+		"full":               answer(503, "full", "Not-Run", "1"),
+		"full for a second":  answer(503, "full", "Not-Run", "1", "Retry-After", "1"),
+		"without promise":    answer(503, "full"),
+		"another server":     answer(421, "other"),
+		"failed":             answer(500, "failed"),
+		"not found":          answer(404, "none"),
+		"unsigned":           answer(200, "id: 4\ndata: event 4\n\n"),
+		"text":               answer(200, "failed\n\n", "Receipt", "1", "Content-Type", "text/plain"),
+		"resets":             reset,
+		"breaks off":         breakOff(0),
+		"ends behind a head": endsBehindHead,
+		"silent":             silent,
+		"only a head":        headOnly,
+		"only comments":      commentsOnly,
 	} {
 		for _, after := range []int{0, 5} {
 			if name == "text" && after == 0 {
--- a/internal/gateway/stream_forward.go
+++ b/internal/gateway/stream_forward.go
@@ -115,7 +115,7 @@
 	switch {
 	case a.superseded:
 		return streamBroken, errSuperseded.Error()
-	case s.header == nil && endsWithConnection(r):
+	case (s.header == nil || a.events == 0) && endsWithConnection(r):
 		return streamBroken, "the connection ended before the first event"
 	}
 	s.supersedeOthers(a)
