Let a request go back to a server that was full for a moment

Callers got 503, or a cut stream, although the only server with room had room again a moment later: a server that had rejected a request without running it never got it again, so the request waited for a server that couldn't come.

A server that is full may be asked again after 0.3 s, within the same limits and the same retry budget; one that answers 421 may not. It gets the request on a new connection: on a reused one the rejection may be a copy of the first, while the request runs.

TestARejectedRequestGoesBackToItsServer and TestASilentStreamGoesBackToAServerThatWasFull failed before.

--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -32,8 +32,9 @@
 	Service string
 	// Model is set for requests of replica groups.
 	Model string
-	// Tried are the IDs of servers that must not get the request again.
-	Tried map[string]bool
+	// Tried holds, by ID, the servers that had the request. They must not get it again
+	// before the given time, or never again if it is zero.
+	Tried map[string]time.Time
 	// Overdue is set if the request can't meet its objective any more.
 	Overdue bool
 	// remoteShare is the share of a remote server's slots that this entry may
@@ -41,6 +42,12 @@
 	remoteShare float64
 }
 
+// hasTried reports whether the server must not get the request again now.
+func (r Requirements) hasTried(now time.Time, id string) bool {
+	until, found := r.Tried[id]
+	return found && (until.IsZero() || now.Before(until))
+}
+
 // Reservation holds capacity for one request at a server until Release.
 type Reservation struct {
 	Server   *registry.Server
@@ -280,7 +287,7 @@
 // other zones and servers that failed requests rank lower. It reports false if
 // the server can't take the request now, request limits aside.
 func (b *Balancer) score(now time.Time, s *registry.Server, service *routes.Service, r Requirements) (float64, bool) {
-	if s.Leaving || b.excluded[s.Zone] || r.Tried[s.ID] {
+	if s.Leaving || b.excluded[s.Zone] || r.hasTried(now, s.ID) {
 		return 0, false
 	}
 	if service.Engine != nil && !s.LeadsOpenGroup(r.Model) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -160,7 +160,8 @@
 }
 
 // send forwards the request to the server of the reservation and reads the
-// header of its response. If newConn is set, it opens a new connection. It skips
+// header of its response. If newConn is set, it opens a new connection: a reused one may
+// be dead or hold a stray response. It skips
 // late responses to other requests: those with another request ID, and those
 // without an ID that are signed, or that arrive on a reused connection and are no
 // rejections. A rejection without an ID on a reused connection may be a copy of an
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -24,6 +25,9 @@
 )
 
 const (
+	// rejectionPause is how long a request is not sent again to a server that has
+	// rejected it without running it.
+	rejectionPause = 300 * time.Millisecond
 	// responseMargin is how long before the end of the caller's timeout the
 	// entry gives up on a request. It leaves time for the final response to
 	// arrive.
@@ -60,9 +64,10 @@
 	callerGone func() bool
 	// deadline is the latest time of the final response to the caller.
 	deadline time.Time
-	// tried holds the IDs of the servers that were attempted, including those
-	// that could not be reached. They are not attempted again.
-	tried map[string]bool
+	// tried holds the servers that were attempted, including those that could not be
+	// reached, and until when they are not attempted again: see dispatch.Requirements. It
+	// is replaced when it changes, because searches for a server hold it.
+	tried map[string]time.Time
 	// sent counts the failed attempts in which the server may have run the
 	// request. It leaves out servers that could not be reached or that stated
 	// that the request did not run.
@@ -110,6 +115,29 @@
 	c.attemptNotes = append(c.attemptNotes, text)
 }
 
+// setTried records that a server is not attempted again before the given time, or never
+// again if it is zero.
+func (c *call) setTried(id string, until time.Time) {
+	c.tried = maps.Clone(c.tried)
+	c.tried[id] = until
+}
+
+// needsNewConn reports whether the request must go to the server on a new connection. On a
+// reused one, the rejection of a request that the server has rejected before may be a copy,
+// while it runs now.
+func (c *call) needsNewConn(id string) bool {
+	_, tried := c.tried[id]
+	return tried || !c.route.Retryable()
+}
+
+// setRejected records that a server has rejected the request without running it. One that
+// is full may have room later. 421 says that it is another server, or has other weights.
+func (c *call) setRejected(id string, status int) {
+	if status != http.StatusMisdirectedRequest {
+		c.setTried(id, time.Now().Add(rejectionPause))
+	}
+}
+
 // notes returns the notes as one line.
 func (c *call) notes() string {
 	c.mu.Lock()
@@ -129,7 +157,7 @@
 // or a stream is cut.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.metrics.requests.Add(1)
-	c := &call{info: g.platform.Protocol.DecodeRequest(r.Header), started: time.Now(), tried: map[string]bool{}}
+	c := &call{info: g.platform.Protocol.DecodeRequest(r.Header), started: time.Now(), tried: map[string]time.Time{}}
 	for _, header := range c.info.InvalidHeaders {
 		c.addNote("invalid header " + header)
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -52,6 +52,7 @@
 		if failure == nil && response.notRun {
 			// The server did not run the request, but sending it again counts
 			// as a retry.
+			c.setRejected(res.Server.ID, response.status)
 			if !g.takeRetry(c) {
 				break
 			}
@@ -102,10 +103,9 @@
 		res.Release(time.Now(), result)
 		g.queues.Queue(c.service, "").Dispatch()
 	}()
-	c.tried[res.Server.ID] = true
-	// A reused connection may be dead or hold a stray response. Requests that
-	// can't be retried use a new one.
-	x, failure := g.send(ctx, c, res, "", !c.route.Retryable())
+	newConn := c.needsNewConn(res.Server.ID)
+	c.setTried(res.Server.ID, time.Time{})
+	x, failure := g.send(ctx, c, res, "", newConn)
 	if failure != nil {
 		c.addNote(res.Server.ID + " " + failure.Error())
 		if failure.Stage == backend.Unsent {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -126,9 +126,9 @@
 		g.queues.Queue(c.service, c.info.Model).Dispatch()
 		return false
 	}
-	c.tried[res.Server.ID] = true
 	s.starts++
 	a := newStreamAttempt(ctx, s, res)
+	c.setTried(res.Server.ID, time.Time{})
 	s.paid = false
 	s.mu.Lock()
 	s.running = append(s.running, a)
@@ -180,6 +180,7 @@
 		s.paid = s.paid || a.paid
 	case streamRejected:
 		s.arrived = true
+		c.setRejected(a.reservation.Server.ID, a.status)
 	case streamBroken, streamFailed, streamSuperseded:
 		s.arrived = true
 		c.sent++
--- a/internal/gateway/stream_attempt.go
+++ b/internal/gateway/stream_attempt.go
@@ -55,11 +55,13 @@
 	started     time.Time
 	// after is the ID of the last event that was forwarded when the attempt began.
 	after string
-	// paid is set if the attempt was charged to the retry budget.
-	paid bool
-	// result, and errorResponse if the result is streamFailed, are set when the attempt
-	// has ended.
+	// paid is set if the attempt was charged to the retry budget, and newConn if it needs a
+	// new connection.
+	paid, newConn bool
+	// result is set when the attempt has ended, with the status of an error response, and
+	// that response if the result is streamFailed.
 	result        streamResult
+	status        int
 	errorResponse *plainResponse
 
 	// The relay's mu guards the fields below.
@@ -83,7 +85,9 @@
 
 func newStreamAttempt(ctx context.Context, s *streamRelay, res *dispatch.Reservation) *streamAttempt {
 	now := time.Now()
-	a := &streamAttempt{relay: s, reservation: res, paid: s.paid, started: now, lastEvent: now}
+	a := &streamAttempt{
+		relay: s, reservation: res, paid: s.paid, newConn: s.call.needsNewConn(res.Server.ID), started: now, lastEvent: now,
+	}
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	return a
 }
@@ -167,7 +171,7 @@
 // send sends the request to the server and relays its response.
 func (a *streamAttempt) send() (streamResult, string) {
 	g, c := a.relay.gateway, a.relay.call
-	x, failure := g.send(a.ctx, c, a.reservation, a.after, !c.route.Retryable())
+	x, failure := g.send(a.ctx, c, a.reservation, a.after, a.newConn)
 	if failure == nil {
 		return a.relayResponse(x)
 	}
@@ -195,11 +199,12 @@
 			return streamBroken, err.Error()
 		}
 		x.Finish()
-		reason := describeError(x.Response.StatusCode, info)
+		a.status = x.Response.StatusCode
+		reason := describeError(a.status, info)
 		if info.NotRun {
 			return streamRejected, reason
 		}
-		a.errorResponse = &plainResponse{status: x.Response.StatusCode, header: x.Response.Header, body: body}
+		a.errorResponse = &plainResponse{status: a.status, header: x.Response.Header, body: body}
 		return streamFailed, reason
 	}
 	if !info.Signed || x.Response.Header.Get("Content-Encoding") != "" {
