--- a/internal/gateway/moved_stream_test.go
+++ b/internal/gateway/moved_stream_test.go
@@ -88,3 +88,27 @@
 		}
 	}
 }
+
+// Guards against plain requests that leave a silent server for one that turns them away:
+// they stay where they are until their time is over.
+func TestPlainRequestStaysAtASilentServer(t *testing.T) {
+	for name, path := range map[string]string{"safe": "/bays/1", "unsafe": "/dock/1"} {
+		for _, stopping := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s stopping %t", name, stopping), func(t *testing.T) {
+				run(t, func(s *site) { s.add("d1", "docking", "", slow(1300*time.Millisecond)) }, func(s *site) {
+					result := make(chan response)
+					go func() { result <- s.call(s.t.Context(), http.MethodPost, path, "1", nil) }()
+					time.Sleep(100 * time.Millisecond)
+					s.add("d2", "docking", "", answer(503, "full", "Not-Run", "1"))
+					if stopping {
+						go s.entry.Shutdown(context.Background())
+					}
+					got := <-result
+					assert.NoError(s.t, got.err)
+					assert.Equal(s.t, http.StatusOK, got.status, s.logs.String())
+					assert.Zero(s.t, s.servers["d2"].requests())
+				})
+			})
+		}
+	}
+}
