Don't take a row of another partition for one of the operators'

The store's feed has the rows of all partitions of a table. The read of the whole table has only the empty partition, so entries disagreed until their next full read.

The follower leaves rows of other partitions out. TestFollowerLeavesOutOtherPartitions failed before.

--- a/internal/store/follower.go
+++ b/internal/store/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -42,7 +43,8 @@
 // changes, and reads the whole table again if the feed no longer reaches back far
 // enough. All fields but Paused, Position and Settling must be set.
 type Follower struct {
-	// Table is the table to follow. Its rows have an empty partition.
+	// Table is the table to follow. Rows in another partition than the empty one are left
+	// out.
 	Table string
 	// PollWait is how long the store may hold a call without changes.
 	PollWait time.Duration
@@ -134,7 +136,9 @@
 		defer cancel()
 		page, err = c.Feed(ctx, f.Table, version, wait)
 	}
-	update.Rows, update.Version = page.Rows, page.Version
+	// The feed has the rows of all partitions.
+	update.Rows = slices.DeleteFunc(page.Rows, func(r Row) bool { return r.Partition != "" })
+	update.Version = page.Version
 	if page.More && !full {
 		update.AsOf = time.Time{}
 	}
--- a/internal/store/follower_test.go
+++ b/internal/store/follower_test.go
@@ -70,6 +70,29 @@
 	})
 }
 
+// Guards against a row that is taken for another one with the same key, although it is in
+// another partition of the table.
+func TestFollowerLeavesOutOtherPartitions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := standin.NewStore()
+		s.Put("op", "config", []byte("1"))
+		f := follow(ctx, s)
+		time.Sleep(100 * time.Millisecond)
+		_, err := s.Client("a").Commit(ctx, store.Transaction{Puts: []store.Put{
+			{RowKey: store.RowKey{Table: "op", Partition: "other", Key: "config"}, Value: []byte("2")},
+		}})
+		require.NoError(t, err)
+		time.Sleep(2 * time.Second)
+		for _, u := range f.seen() {
+			for _, row := range u.Rows {
+				require.Equal(t, "1", string(row.Value))
+			}
+		}
+	})
+}
+
 // Guards against missing a deletion. The store compacts its history between two
 // calls, after a row was deleted: the next update must be the whole table.
 func TestFollowerRereadsTableAfterCompaction(t *testing.T) {
