--- a/internal/command/factory/factory.go
+++ b/internal/command/factory/factory.go
@@ -61,6 +61,10 @@
 	WaitTimeout time.Duration
 }
 
+// OutliveOutput keeps the process alive when the reader of its standard output or standard
+// error has gone. Writes to them fail then. Commands that only print end instead.
+func OutliveOutput() { signal.Ignore(syscall.SIGPIPE) }
+
 // New returns a Factory with the standard streams, signal handling and a
 // client that is configured by the flags.
 func New() *Factory {
--- a/internal/command/gateway/gateway.go
+++ b/internal/command/gateway/gateway.go
@@ -68,6 +68,7 @@
 	if err != nil {
 		return err
 	}
+	factory.OutliveOutput()
 	logOutput := decisionlog.NewWriter(opts.Factory.Out, maxLogLinesPerSecond)
 	defer logOutput.Close(max(minLogDrain, time.Duration(logDrainFraction*float64(s.Bounds.Grace))))
 	logger := logrus.New()
--- a/internal/command/serve/serve.go
+++ b/internal/command/serve/serve.go
@@ -43,6 +43,7 @@
 	if err != nil {
 		return err
 	}
+	factory.OutliveOutput()
 	s.Limits.Clients.SetDefaults()
 	debug.SetMemoryLimit(int64(heapFraction * float64(s.Limits.Clients.MemoryBytes)))
 	logger := logrus.New()
