Don't pass on the redirect or client error of a program that is no server

A response without the request's ID and signature was accepted on a new connection, whatever its status.

With a status from 300 to 499 it is a failed attempt now, unless it says that the request has not run.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -26,6 +26,10 @@
 // an unknown request.
 var errUnknownRejection = errors.New("the rejection may belong to an earlier request on the connection")
 
+// errNotAServer is the error of an attempt that was answered with a redirect or a client
+// error by something that gives no sign of being a backend server.
+var errNotAServer = errors.New("the response is not that of a backend server")
+
 // reserve waits for capacity at a server and reserves it. It returns nil if
 // none becomes free in time, if the queue is full or if the request is shed. It
 // returns nil at once, and sets c.retryAfter, if the expected wait is too long;
@@ -195,10 +199,22 @@
 		x.Abort()
 		return nil, &backend.Failure{Stage: backend.Sent, Err: errUnknownRejection}
 	}
+	if isForeign(status, info) {
+		x.Abort()
+		return nil, &backend.Failure{Stage: backend.Sent, Fresh: !x.Reused(), Err: errors.Wrap(errNotAServer, "status "+strconv.Itoa(status))}
+	}
 	g.limits.observe(time.Now(), res.Server, status, info)
 	return x, nil
 }
 
+// isForeign reports whether a redirect or a client error has neither the request's ID nor a
+// signature, nor says that the request has not run. Servers name the request in all their
+// responses, so another program listens at the address.
+func isForeign(status int, info ResponseInfo) bool {
+	return status >= http.StatusMultipleChoices && status < http.StatusInternalServerError &&
+		info.ID == "" && !info.Signed && !info.NotRun
+}
+
 // backendServer returns the server with this entry's part of the service's
 // connection limit, which is at least 2, or 0 if the service has no limit.
 func (g *Gateway) backendServer(s *registry.Server) backend.Server {
