Move the state of a call and the log of its outcome to files of their own

An attempt whose caller's connection fails while an event is written no longer counts against its server; nothing else changes.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -2,32 +2,21 @@
 
 import (
 	"context"
-	"fmt"
-	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"runtime/debug"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/sirupsen/logrus"
 
 	"github.com/hibiscuspulley/hibiscuspulley/internal/backend"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/connlimit"
-	"github.com/hibiscuspulley/hibiscuspulley/internal/dispatch"
-	"github.com/hibiscuspulley/hibiscuspulley/internal/event"
-	"github.com/hibiscuspulley/hibiscuspulley/internal/registry"
 	"github.com/hibiscuspulley/hibiscuspulley/internal/routes"
 )
 
 const (
-	// rejectionPause is how long a request is not sent again to a server that has
-	// rejected it without running it.
-	rejectionPause = 300 * time.Millisecond
 	// responseMargin is how long before the end of the caller's timeout the
 	// entry gives up on a request. It leaves time for the final response to
 	// arrive.
@@ -51,107 +40,6 @@
 	defaultBodyBytes = 4 << 20
 )
 
-// call is the state of one in-flight request of a caller.
-type call struct {
-	info         RequestInfo
-	table        *routes.Table
-	route        *routes.Route
-	service      string
-	organisation *routes.Organisation
-	request      backend.Request
-	started      time.Time
-	// callerGone reports whether the caller has disconnected.
-	callerGone func() bool
-	// deadline is the latest time of the final response to the caller.
-	deadline time.Time
-	// tried holds the servers that were attempted, including those that could not be
-	// reached, and until when they are not attempted again: see dispatch.Requirements. It
-	// is replaced when it changes, because searches for a server hold it.
-	tried map[string]time.Time
-	// sent counts the failed attempts in which the server may have run the
-	// request. It leaves out servers that could not be reached or that stated
-	// that the request did not run.
-	sent int
-	// trial is set if the request is let through although one of its prompt parts
-	// is in quarantine.
-	trial bool
-	// startedOn holds the server incarnations on which a stream started to run:
-	// those that sent a forwarded event, or an error response that does not
-	// state that the request did not run. It stays empty for plain requests.
-	startedOn []registry.Incarnation
-	// mu guards attemptNotes and reserved, which the attempts of a stream share.
-	mu sync.Mutex
-	// attemptNotes describes the attempts, the reasons to make no further one,
-	// and invalid headers. It is logged with the request's outcome.
-	attemptNotes []string
-	// retryAfter is the estimated wait of a request that was rejected because
-	// its queue is too long, as Gateway.retryAfter limits it, or after which the first server
-	// takes requests again. Otherwise it is 0.
-	retryAfter time.Duration
-	// early is set if the caller has sent the request again before the time that it
-	// was asked to wait.
-	early bool
-	// prediction is the last prediction of the request's wait, and predicted tells
-	// whether there is one.
-	prediction dispatch.Prediction
-	predicted  bool
-	// reserved is the memory that is reserved for the request's body and for
-	// response bodies.
-	reserved int64
-	// delivered counts the events of a stream that were forwarded to the caller.
-	delivered int
-	// queued is how long the request has waited for capacity.
-	queued time.Duration
-	// firstAfter is when the first event was forwarded, counted from the request's
-	// arrival; lastAt is the time of the last one, and longestPause the longest time
-	// between two.
-	firstAfter, longestPause time.Duration
-	lastAt                   time.Time
-}
-
-func (c *call) addNote(text string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.attemptNotes = append(c.attemptNotes, text)
-}
-
-// setTried records that a server is not attempted again before the given time, or never
-// again if it is zero.
-func (c *call) setTried(id string, until time.Time) {
-	c.tried = maps.Clone(c.tried)
-	c.tried[id] = until
-}
-
-// needsNewConn reports whether the request must go to the server on a new connection. On a
-// reused one, the rejection of a request that the server has rejected before may be a copy,
-// while it runs now.
-func (c *call) needsNewConn(id string) bool {
-	_, tried := c.tried[id]
-	return tried || !c.route.Retryable()
-}
-
-// setRejected records that a server has rejected the request without running it. One that
-// is full may have room later. 421 says that it is another server, or has other weights.
-func (c *call) setRejected(id string, status int) {
-	if status != http.StatusMisdirectedRequest {
-		c.setTried(id, time.Now().Add(rejectionPause))
-	}
-}
-
-// notes returns the notes as one line.
-func (c *call) notes() string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return strings.Join(c.attemptNotes, "; ")
-}
-
-// addReserved records memory that is reserved until the end of the request.
-func (c *call) addReserved(n int64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.reserved += n
-}
-
 // ServeHTTP handles one request of a caller. It panics with
 // http.ErrAbortHandler to close the connection if the caller has disconnected
 // or a stream is cut.
@@ -188,26 +76,6 @@
 	g.servePlain(ctx, w, c)
 }
 
-// logPanic logs a panic of the handler, which must call it directly by defer. The
-// connection is closed without a response.
-func (g *Gateway) logPanic(c *call) {
-	cause := recover()
-	if cause == nil {
-		return
-	}
-	if err, ok := cause.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
-		g.logPanicCause(c, cause, debug.Stack())
-	}
-	panic(http.ErrAbortHandler)
-}
-
-// logPanicCause logs a panic that came while the request was handled.
-func (g *Gateway) logPanicCause(c *call, cause any, stack []byte) {
-	event.HandlerPanicked.Log(g.logger, logrus.Fields{
-		"request": c.info.ID, "cause": fmt.Sprint(cause), "attempts": c.notes(), "stack": string(stack),
-	})
-}
-
 // admit checks the request against the configuration, reads its body and sets
 // the fields of c that forwarding needs. If the request can't be forwarded, it
 // sends the response and returns false.
@@ -335,84 +203,6 @@
 	g.logOutcome(c, status, reason)
 }
 
-// logOutcome writes the single log entry about a request's outcome. An empty
-// reason means success; only then is the duration added to the metrics. A
-// status of 0 means that the caller disconnected.
-func (g *Gateway) logOutcome(c *call, status int, reason string) {
-	fields := g.outcomeFields(c, status)
-	if reason == "" {
-		g.metrics.served.observe(time.Since(c.started))
-		event.RequestServed.Log(g.logger, fields)
-		return
-	}
-	fields["reason"] = reason
-	event.RequestFailed.Log(g.logger, fields)
-}
-
-// logCut writes the log entry about a stream that is cut. Unlike other outcomes, the log
-// never drops it.
-func (g *Gateway) logCut(c *call, reason string) {
-	g.metrics.cut.Add(1)
-	fields := g.outcomeFields(c, http.StatusOK)
-	fields["reason"], fields["idle-ms"] = reason, time.Since(c.lastAt).Milliseconds()
-	event.StreamCut.Log(g.logger, fields)
-}
-
-// outcomeFields returns the log fields of a request that has ended.
-func (g *Gateway) outcomeFields(c *call, status int) logrus.Fields {
-	fields := logrus.Fields{
-		"request": c.info.ID, "status": status, "ms": time.Since(c.started).Milliseconds(),
-	}
-	if c.route != nil {
-		fields["route"] = c.route.Name
-		fields["config"] = c.table.Config.Version
-	}
-	if c.organisation != nil {
-		fields["organisation"] = c.organisation.Name
-	}
-	if notes := c.notes(); notes != "" {
-		fields["attempts"] = notes
-	}
-	if c.delivered > 0 {
-		fields["events"] = c.delivered
-		fields["first-ms"], fields["pause-ms"] = c.firstAfter.Milliseconds(), c.longestPause.Milliseconds()
-	}
-	if c.queued >= time.Millisecond {
-		fields["queued-ms"] = c.queued.Milliseconds()
-	}
-	if c.route != nil && c.sent == 0 && status == http.StatusServiceUnavailable {
-		g.addCapacity(fields, c)
-		g.addPrediction(fields, c)
-	}
-	return fields
-}
-
-// recordForwarded records the time at which an event was forwarded.
-func (c *call) recordForwarded(now time.Time) {
-	if c.delivered == 0 {
-		c.firstAfter = now.Sub(c.started)
-	} else {
-		c.longestPause = max(c.longestPause, now.Sub(c.lastAt))
-	}
-	c.lastAt = now
-	c.delivered++
-}
-
-// addCapacity adds the current load and capacity of the request's servers to
-// the log fields of a rejected request.
-func (g *Gateway) addCapacity(fields logrus.Fields, c *call) {
-	requirements := dispatch.Requirements{Service: c.service}
-	if c.route.Kind == routes.Streaming {
-		requirements.Model = c.info.Model
-	}
-	capacity := g.balancer.Capacity(time.Now(), g.bootClock(), requirements)
-	fields["servers"], fields["silent"], fields["full"] = capacity.Servers, capacity.Unresponsive, capacity.Full
-	fields["limited"] = capacity.Limited
-	fields["in-flight"], fields["waiting"] = capacity.InFlight, g.queues.Queue(c.service, requirements.Model).Length()
-	fields["view"], fields["view-age-ms"] = capacity.ViewVersion, capacity.ViewAge.Milliseconds()
-	fields["config-age-ms"] = g.bootClock().Sub(g.configCache.confirmedAt()).Milliseconds()
-}
-
 // removeHopByHop removes the headers that apply to a single connection only.
 func removeHopByHop(h http.Header) {
 	for _, list := range h.Values("Connection") {
--- a/internal/gateway/stream_attempt.go
+++ b/internal/gateway/stream_attempt.go
@@ -150,7 +150,7 @@
 		return dispatch.Unresponsive
 	case a.result == streamRejected:
 		return dispatch.Rejected
-	case a.relay.call.callerGone():
+	case a.result == streamCallerGone, a.relay.call.callerGone():
 		a.result = streamCallerGone
 		return dispatch.Cancelled
 	case errors.Is(ctx.Err(), context.Canceled), a.result == streamUnsent:
