End a group for a successor only when it answers at the leader's address

What was seen: a record of another writer with every field stated the address of a group's leader.

Cause: a later record at the leader's address counted as the proof that the leader had stopped, even beside the leader's own record. A record states an address and proves nothing.

Change: the servers registered at the address since are probed, at most three of them. A report request names the ID that it expects, and any other server rejects it, so only a real successor answers. A crashed leader that is back under another ID still ends its group, one probe later.

TestGroupEndsWhenAnotherServerStartsAtItsLeadersAddress took the record alone for the proof. It is replaced by TestGroupEndsWhenAnotherServerAnswersAtIts- LeadersAddress, which also asks that the server is probed and that a record without an answer ends nothing.

--- a/internal/dispatch/unrecorded.go
+++ b/internal/dispatch/unrecorded.go
@@ -57,11 +57,11 @@
 
 // listUnrecorded lists the leaders of open groups that the view has no record of any
 // more. Servers that said that they leave are not listed, nor those at whose address
-// another server has started.
+// another server is registered since.
 func listUnrecorded(v *registry.View) []*registry.Server {
 	var list []*registry.Server
 	for id, s := range v.Removed {
-		if _, gone := v.GoneSince[id]; gone && !s.Leaving && s.Member != nil && s.LeadsOpenGroup(s.Member.Model) && !v.Replaced(s.Incarnation()) {
+		if _, gone := v.GoneSince[id]; gone && !s.Leaving && s.Member != nil && s.LeadsOpenGroup(s.Member.Model) && len(v.Successors(s.Incarnation())) == 0 {
 			list = append(list, s)
 		}
 	}
--- a/internal/formation/member_lost_test.go
+++ b/internal/formation/member_lost_test.go
@@ -69,31 +69,45 @@
 }
 
 // Guards against a long outage of a group whose leader crashed and is back at its
-// address under another ID: the group ends at once, without the wait for a leader
-// that may only be unreachable. A leader that is not replaced is waited for.
-func TestGroupEndsWhenAnotherServerStartsAtItsLeadersAddress(t *testing.T) {
-	engine := &routes.Engine{Slots: 4, Models: []routes.Model{{Name: "large", GroupSize: 3, InitialShare: 1}}}
-	id := registry.GroupID{Name: "g", Epoch: 1}
-	start := time.Unix(1000, 0)
-	for _, replaced := range []bool{true, false} {
-		members, view := openGroup(id)
-		c := formation.NewController(zone, []string{zone}, 1, brokenAfter, []*formation.Group{formation.RestoreGroup(id, "large", members, start)})
-		probes := map[string]formation.ProbeResult{}
-		step := func(at time.Duration) {
-			c.Step(start.Add(at), view, service, engine, func(id string) formation.ProbeResult { return probes[id] })
-		}
-		step(0)
-		probes["s0"] = formation.ProbeResult{FailingSince: start, Refused: true}
-		step(tick)
-		view.Removed["s0"], view.RemovedAt["s0"] = view.Servers["s0"], start
-		delete(view.Servers, "s0")
-		if replaced {
-			view.Servers["s9"] = &registry.Server{
-				ID: "s9", StartTime: 2, Service: service, Zone: zone, Address: "10.0.0.s0", Domain: "d", Staged: []string{"large"},
+// address under another ID: the group ends as soon as that server answers there, without
+// the wait for a leader that may only be unreachable. Any other leader is waited for.
+func TestGroupEndsWhenAnotherServerAnswersAtItsLeadersAddress(t *testing.T) {
+	successors := map[string]struct {
+		registered, answers bool
+	}{
+		"none":                       {},
+		"one that answers":           {registered: true, answers: true},
+		"a record that nobody backs": {registered: true},
+	}
+	for name, tc := range successors {
+		t.Run(name, func(t *testing.T) {
+			w := newTrio()
+			w.controller.SetDrainTime(0)
+			w.probes["s0"] = formation.ProbeResult{FailingSince: w.start, Refused: true}
+			w.orders(tick, 2*tick)
+			w.view.Removed["s0"], w.view.RemovedAt["s0"] = w.view.Servers["s0"], w.start
+			delete(w.view.Servers, "s0")
+			if tc.registered {
+				w.claimAddress("10.0.0.s0")
 			}
-		}
-		step(2 * tick)
-		ended := !slices.ContainsFunc(c.Groups(), func(g *formation.Group) bool { return g.ID == id })
-		require.Equal(t, replaced, ended)
+			w.orders(2*tick, 3*tick)
+			require.Equal(t, tc.registered, slices.Contains(w.probed, "s9"))
+			w.probes["s9"] = formation.ProbeResult{Answered: tc.answers, FailingSince: w.start}
+			w.orders(3*tick, 4*tick)
+			require.Equal(t, tc.answers, len(w.controller.Groups()) == 0)
+		})
 	}
 }
+
+// Guards against ordering a leader that serves into another group: a record of another
+// writer states the leader's address while one of its members leaves.
+func TestRecordWithALeadersAddressDoesNotEndItsGroup(t *testing.T) {
+	w := newTrio()
+	w.claimAddress("10.0.0.s0")
+	w.probes["s9"] = formation.ProbeResult{FailingSince: w.start}
+	w.view.Servers["s2"].Leaving = true
+	require.Equal(t, []string{"close s0"}, w.orders(tick, 2*time.Second))
+	w.view.Servers["s0"].Member.State = registry.Ready
+	require.Equal(t, []string{"leave s0"}, w.orders(2*time.Second, 2*time.Second+tick))
+	require.Len(t, w.controller.Groups(), 1)
+}
--- a/internal/formation/missing.go
+++ b/internal/formation/missing.go
@@ -104,14 +104,15 @@
 // or nil if the group is kept. Members that don't answer end it as they do with a
 // record. For a missing record alone the group closes only after recordAbsence, or if
 // its streams are stalled, and not at the same time as many others.
-func (c *Controller) absenceCause(g *Group, m registry.Incarnation, v *registry.View, p ProbeResult, now time.Time) *endCause {
+func (c *Controller) absenceCause(g *Group, m registry.Incarnation, v *registry.View, probe func(string) ProbeResult, now time.Time, d *Decision) *endCause {
 	if g.mayReregister(m, now, v) {
 		return nil
 	}
 	since := g.absence.since[m]
 	last := v.Removed[m.ID]
+	p := probe(m.ID)
 	switch {
-	case v.Replaced(m):
+	case isReplaced(m, v, probe, d):
 		return &endCause{reason: "another server has started at the address of member " + m.ID}
 	case p.Refused, unresponsive(p, now):
 		return &endCause{reason: "member " + m.ID + " has no server record and does not answer"}
--- a/internal/formation/missing_cases_test.go
+++ b/internal/formation/missing_cases_test.go
@@ -17,6 +17,8 @@
 	controller *formation.Controller
 	view       *registry.View
 	probes     map[string]formation.ProbeResult
+	// probed lists the servers that the last step asked to be probed.
+	probed []string
 }
 
 func newTrio() *trio {
@@ -39,6 +41,7 @@
 	var list []string
 	for at := from; at < to; at += tick {
 		d := w.controller.Step(w.start.Add(at), w.view, service, engine, func(id string) formation.ProbeResult { return w.probes[id] })
+		w.probed = d.ServersToProbe
 		for _, o := range d.Orders {
 			if text := string(o.Operation) + " " + o.Server; len(list) == 0 || list[len(list)-1] != text {
 				list = append(list, text)
@@ -57,6 +60,13 @@
 	return s
 }
 
+// claimAddress adds the later record of a server "s9" that states the address.
+func (w *trio) claimAddress(address string) {
+	w.put(&registry.Server{
+		ID: "s9", StartTime: 2, Service: service, Zone: zone, Address: address, Domain: "d", Staged: []string{"large"},
+	})
+}
+
 func (w *trio) put(s *registry.Server) {
 	w.view.Servers[s.ID] = s
 	delete(w.view.Removed, s.ID)
@@ -65,7 +75,7 @@
 // Guards against closing the group of a member that is only cut off from the store. Its
 // group is closed only when the record has been away for 12 s or the streams are
 // stalled, and ended when the member has not answered for 0.5 s, has restarted, or
-// another server has its address.
+// another server answers at its address.
 func TestGroupOfAMemberWithoutRecordIsKept(t *testing.T) {
 	since := time.Unix(1001, 0)
 	for name, test := range map[string]struct {
@@ -78,8 +88,12 @@
 		"is silent":     {func(w *trio) { w.probes["s2"] = formation.ProbeResult{FailingSince: since} }, 1500 * time.Millisecond, "leave s0"},
 		"refuses":       {func(w *trio) { w.probes["s2"] = formation.ProbeResult{FailingSince: since, Refused: true} }, time.Second, "leave s0"},
 		"leaves":        {func(w *trio) { w.view.Removed["s2"].Leaving = true }, time.Second, "close s0"},
-		"was replaced":  {func(w *trio) { w.put(&registry.Server{ID: "s9", StartTime: 2, Address: "10.0.0.s2"}) }, time.Second, "leave s0"},
-		"restarted":     {func(w *trio) { w.put(&registry.Server{ID: "s2", StartTime: 2}) }, time.Second, "leave s0"},
+		"was replaced": {func(w *trio) {
+			w.claimAddress("10.0.0.s2")
+			w.probes["s9"] = formation.ProbeResult{Answered: true}
+		}, time.Second, "leave s0"},
+		"address is claimed": {func(w *trio) { w.claimAddress("10.0.0.s2") }, 12 * time.Second, "close s0"},
+		"restarted":          {func(w *trio) { w.put(&registry.Server{ID: "s2", StartTime: 2}) }, time.Second, "leave s0"},
 	} {
 		w := newTrio()
 		w.drop("s2")
--- a/internal/formation/reconcile.go
+++ b/internal/formation/reconcile.go
@@ -55,7 +55,7 @@
 		switch {
 		case status == memberMissing && c.keepsGroups() && g.mayOpen:
 			d.ServersToProbe = append(d.ServersToProbe, m.ID)
-			if cause := c.absenceCause(g, m, v, p, now); cause != nil && !cause.graceful {
+			if cause := c.absenceCause(g, m, v, probe, now, d); cause != nil && !cause.graceful {
 				return cause
 			} else if cause != nil {
 				found = cause
@@ -186,7 +186,7 @@
 func (c *Controller) reconcileEnding(g *Group, now time.Time, v *registry.View, probe func(string) ProbeResult, d *Decision) {
 	m := g.leader()
 	srv := v.Servers[m.ID]
-	if v.Replaced(m) {
+	if isReplaced(m, v, probe, d) {
 		c.transition(g, Ended, now, "another server has started at its leader's address", d)
 		return
 	}
@@ -209,6 +209,18 @@
 	}
 }
 
+// isReplaced reports whether another server answers at the member's address, which proves
+// that the member has stopped. It adds the servers that may be there to those to probe.
+func isReplaced(m registry.Incarnation, v *registry.View, probe func(string) ProbeResult, d *Decision) bool {
+	for _, s := range v.Successors(m) {
+		if probe(s.ID).Answered {
+			return true
+		}
+		d.ServersToProbe = append(d.ServersToProbe, s.ID)
+	}
+	return false
+}
+
 func (c *Controller) stopLeader(g *Group, now time.Time, leader *registry.Server, v *registry.View, probe func(string) ProbeResult, d *Decision) {
 	if c.canReopen(g, now, v, probe) {
 		c.reopen(g, now, d)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -1,7 +1,9 @@
 package registry
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,25 +36,33 @@
 	pendingRemoval map[string]bool
 }
 
-// Replaced reports whether a server that started later is registered at the
-// incarnation's last known address, which proves that the incarnation has
-// stopped. It returns false if the address is not known any more.
-func (v *View) Replaced(inc Incarnation) bool {
+// Successors returns the servers that are registered at the incarnation's last known
+// address with a later start time, the latest first and at most maxSuccessors. A record
+// states an address without proving it: only a successor that answers there shows that the
+// incarnation has stopped.
+func (v *View) Successors(inc Incarnation) []Incarnation {
 	last := v.Servers[inc.ID]
 	if last == nil || last.StartTime != inc.StartTime {
 		last = v.Removed[inc.ID]
 	}
 	if last == nil || last.StartTime != inc.StartTime || last.Address == "" {
-		return false
+		return nil
 	}
-	for _, s := range v.Servers {
-		if s.Address == last.Address && s.StartTime > inc.StartTime {
-			return true
+	var list []Incarnation
+	for id, s := range v.Servers {
+		if id != inc.ID && s.Address == last.Address && s.StartTime > inc.StartTime {
+			list = append(list, s.Incarnation())
 		}
 	}
-	return false
+	slices.SortFunc(list, func(a, b Incarnation) int {
+		return cmp.Or(cmp.Compare(b.StartTime, a.StartTime), cmp.Compare(a.ID, b.ID))
+	})
+	return list[:min(len(list), maxSuccessors)]
 }
 
+// maxSuccessors limits the servers that are asked whether they have the address of another.
+const maxSuccessors = 3
+
 // Change is the new record of one server. A nil Server means that the record
 // was deleted or can't be decoded; both remove the server.
 type Change struct {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -29,20 +29,25 @@
 	require.Equal(t, int64(3), v.Servers["s"].StartTime)
 }
 
-// A server that crashed and came back under another ID shows that the earlier one
-// has stopped; an older record at the address, as after a reuse, shows nothing.
-func TestReplacedServersAreThoseWithALaterOneAtTheirAddress(t *testing.T) {
+// A server that crashed and came back under another ID has a later record at the address
+// of the earlier one; an older record there, as after a reuse, is no successor's.
+func TestSuccessorsAreTheLaterServersAtAnAddress(t *testing.T) {
 	r := registry.New(func(_, _ *registry.Server) {})
 	a, b := registry.Incarnation{ID: "a", StartTime: 1}, registry.Incarnation{ID: "b", StartTime: 2}
 	v := apply(r, false, registry.Change{ID: "a", Server: &registry.Server{ID: "a", StartTime: 1, Address: "1"}})
-	require.False(t, v.Replaced(a))
+	require.Empty(t, v.Successors(a))
 	v = apply(r, false, registry.Change{ID: "b", Server: &registry.Server{ID: "b", StartTime: 2, Address: "1"}})
-	require.True(t, v.Replaced(a))
-	require.False(t, v.Replaced(b))
+	require.Equal(t, []registry.Incarnation{b}, v.Successors(a))
+	require.Empty(t, v.Successors(b))
 	v = apply(r, false, registry.Change{ID: "a"})
-	require.True(t, v.Replaced(a), "the last address of a removed server is kept")
-	require.False(t, v.Replaced(registry.Incarnation{ID: "a", StartTime: 5}), "another incarnation")
-	require.False(t, v.Replaced(registry.Incarnation{ID: "unknown", StartTime: 1}))
+	require.Equal(t, []registry.Incarnation{b}, v.Successors(a), "the last address of a removed server is kept")
+	require.Empty(t, v.Successors(registry.Incarnation{ID: "a", StartTime: 5}), "another incarnation")
+	require.Empty(t, v.Successors(registry.Incarnation{ID: "unknown", StartTime: 1}))
+	for start := int64(3); start < 9; start++ {
+		id := string(rune('a' + start))
+		v = apply(r, false, registry.Change{ID: id, Server: &registry.Server{ID: id, StartTime: start, Address: "1"}})
+	}
+	require.Equal(t, []registry.Incarnation{{ID: "i", StartTime: 8}, {ID: "h", StartTime: 7}, {ID: "g", StartTime: 6}}, v.Successors(a))
 }
 
 func TestFullReadRemovesUnlistedServers(t *testing.T) {
