--- a/internal/gateway/stream_error_test.go
+++ b/internal/gateway/stream_error_test.go
@@ -122,3 +122,27 @@
 		})
 	}
 }
+
+// Guards against events that reach the caller twice: the server that continues a stream
+// begins again at the first event, or at the last one that was received.
+func TestACallerGetsEachEventOnce(t *testing.T) {
+	for name, repeated := range map[string]int{"all": 1, "the last": 3} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(s *site) {
+				s.add("d1", "notes", "large", breakOff(3))
+			}, func(s *site) {
+				result := make(chan response)
+				go func() { result <- s.call(s.t.Context(), http.MethodPost, "/notes/1", "1", nil) }()
+				time.Sleep(15 * time.Millisecond)
+				events := ""
+				for i := repeated; i <= 5; i++ {
+					events += fmt.Sprintf("id: %d\ndata: event %d\n\n", i, i)
+				}
+				s.add("d2", "notes", "large", answer(200, events, "Receipt", "1", "Content-Type", "text/event-stream"))
+				got := <-result
+				require.NoError(s.t, got.err)
+				require.Equal(s.t, completeStream(5), got.body, s.logs.String())
+			})
+		})
+	}
+}
